--- a/src/bin/asterstand-drill/main.rs
+++ b/src/bin/calicobeam-adapter/main.rs
@@ -1,4 +1,4 @@
-//! The adapter between the bench's wire and [`asterstand::Router`]: it translates, and decides nothing.
+//! The adapter between the bench's wire and [`calicobeam::Router`]: it translates, and decides nothing.
 //!
 //! One process hosts many routers, which share nothing. A line that is not legal ends the process with a
 //! message on standard error and exit code 1; the end of input ends it with 0.
@@ -9,8 +9,9 @@
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
-use asterstand::{Action, Event, Router};
-use wire::{Env, Line, Reply, Row};
+use calicobeam::settings::{Env, Row};
+use calicobeam::{Action, Event, Router};
+use wire::{Line, Reply};
 
 /// One hosted router with what is needed to translate for it.
 struct Instance {
@@ -31,11 +32,15 @@
 impl Host {
     /// Takes one line; `true` says that the batch has ended and the reply is complete.
     fn take(&mut self, text: &str) -> Result<bool, String> {
-        let head: wire::Head = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        // The parser works in place, and a line is read twice: its head says whether it is for us at all.
+        let mut bytes = text.as_bytes().to_vec();
+        let head: wire::Head = simd_json::from_slice(&mut bytes).map_err(|e| e.to_string())?;
         if !wire::KNOWN.contains(&head.cmd.as_str()) {
             return Ok(false);
         }
-        let line: Line = serde_json::from_str(text).map_err(|e| format!("{}: {e}", head.cmd))?;
+        bytes.clear();
+        bytes.extend_from_slice(text.as_bytes());
+        let line: Line = simd_json::from_slice(&mut bytes).map_err(|e| format!("{}: {e}", head.cmd))?;
         if let Line::Clock { time_us } = line {
             if self.clock.is_some() {
                 return Err("Clock inside a batch".into());
@@ -88,7 +93,7 @@
         let Some(instance) = self.instances.get_mut(&i) else { return Ok(false) };
         instance.router.handle(now, &event, &mut self.actions);
         for action in self.actions.drain(..) {
-            let text = serde_json::to_string(&Reply::from_action(i, action)).map_err(|e| e.to_string())?;
+            let text = simd_json::to_string(&Reply::from_action(i, action)).map_err(|e| e.to_string())?;
             self.reply.push_str(&text);
             self.reply.push('\n');
         }
@@ -128,7 +133,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("asterstand-drill: {message}");
+            eprintln!("calicobeam-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! Asterstand decides for a request router that stands before tiers of caches with one origin behind them.
+//! Calicobeam decides for a request router that stands before tiers of caches with one origin behind them.
 //!
 //! It is sans-I/O: the host owns clock, threads and network. It makes a [`Router`] from [`Settings`] and a
 //! seed, hands it each [`Event`] with the time, and carries out the [`Action`]s that it gets back, in order.
@@ -11,7 +11,7 @@
 //! with `closed` set or by [`Event::Left`].
 //!
 //! ```
-//! use asterstand::*;
+//! use calicobeam::*;
 //! # fn settings() -> Settings {
 //! #     let cold = ColdStart { floor: 0.2, ramp: 15_000_000, multiple: 3.0, window: 2_000_000 };
 //! #     Settings {
@@ -58,6 +58,7 @@
 
 mod interface;
 mod policy;
+pub mod settings;
 
 pub use interface::*;
 pub use policy::Router;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! The edge proxy's command line.
+fn main() {}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,287 @@
+//! The settings object and the list's lines, as an operator words them: one type for proxy and adapter.
+//!
+//! Unknown keys are skipped; what may be absent reads as its type's default.
+
+use crate::{Class, ColdStart, KeyScope, Life, Listing, Repeat, Role, Settings};
+use serde::{Deserialize, Deserializer};
+
+/// Reads a value that may be absent, null or of another type than expected, as the type's default then.
+pub fn lenient<'de, D: Deserializer<'de>, T: Deserialize<'de> + Default>(d: D) -> Result<T, D::Error> {
+    Ok(Option::<T>::deserialize(d)?.unwrap_or_default())
+}
+
+/// One line of the list of members, as the simulator's wire words it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Row {
+    /// Name of its zone.
+    #[serde(default, deserialize_with = "lenient")]
+    pub zone: String,
+    /// Name of its kind.
+    #[serde(default, deserialize_with = "lenient")]
+    pub model: String,
+    /// `live`, `quiescing` or `dead`.
+    pub lifecycle: String,
+    /// When it started, in microseconds; 0 is long ago.
+    #[serde(default, deserialize_with = "lenient")]
+    pub ready_at_us: u64,
+    /// Its id.
+    pub cache: u32,
+    /// Its size, where it is told.
+    #[serde(default)]
+    pub power_hint: Option<f64>,
+    /// Number of its cell.
+    #[serde(default, deserialize_with = "lenient")]
+    pub cohort: u32,
+}
+
+/// The settings object.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Env {
+    classes: Vec<EnvClass>,
+    #[serde(default, deserialize_with = "lenient")]
+    discovery: String,
+    #[serde(default, deserialize_with = "lenient")]
+    family_info: Family,
+    #[serde(default, deserialize_with = "lenient")]
+    localities: Vec<String>,
+    #[serde(default, deserialize_with = "lenient")]
+    locality: String,
+    #[serde(default, deserialize_with = "lenient")]
+    policy_limits: Limits,
+    #[serde(default, deserialize_with = "lenient")]
+    rules: Rules,
+    #[serde(default, deserialize_with = "lenient")]
+    siblings: u32,
+    #[serde(default, deserialize_with = "lenient")]
+    skus: Vec<String>,
+    #[serde(default, deserialize_with = "lenient")]
+    weight_kind: String,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct EnvClass {
+    name: String,
+    #[serde(default, deserialize_with = "lenient")]
+    aim_stretch: f64,
+    deadline_us: u64,
+    #[serde(default, deserialize_with = "lenient")]
+    dedup_scope: String,
+    promise_us: u64,
+    semantics: String,
+    #[serde(default, deserialize_with = "lenient")]
+    window_us: u64,
+    #[serde(default, deserialize_with = "lenient")]
+    worth: f64,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Family {
+    #[serde(deserialize_with = "lenient")]
+    max_age_us: Vec<u64>,
+    #[serde(deserialize_with = "lenient")]
+    older_by_us: Vec<u64>,
+    #[serde(deserialize_with = "lenient")]
+    uncached: Vec<bool>,
+    #[serde(deserialize_with = "lenient")]
+    may_pass_by: bool,
+    #[serde(deserialize_with = "lenient")]
+    flow_kb_per_s: f64,
+    #[serde(deserialize_with = "lenient")]
+    joins: bool,
+    root_kind: Option<i64>,
+    mid_kind: Option<i64>,
+    #[serde(deserialize_with = "lenient")]
+    parent_floor: f64,
+    #[serde(deserialize_with = "lenient")]
+    upper_cold_us: u64,
+    #[serde(deserialize_with = "lenient")]
+    parent_breaks_at: f64,
+    #[serde(deserialize_with = "lenient")]
+    purge_done_us: u64,
+    #[serde(deserialize_with = "lenient")]
+    notes_given: String,
+    #[serde(deserialize_with = "lenient")]
+    seats_by_zone: Vec<u32>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Limits {
+    #[serde(deserialize_with = "lenient")]
+    cancelling: bool,
+    #[serde(deserialize_with = "lenient")]
+    connect_timeout_us: u64,
+    #[serde(deserialize_with = "lenient")]
+    keepalive_us: u64,
+    #[serde(deserialize_with = "lenient")]
+    streams_per_conn: u32,
+    #[serde(deserialize_with = "lenient")]
+    max_retry_after_us: u64,
+    #[serde(deserialize_with = "lenient")]
+    probing: bool,
+    #[serde(deserialize_with = "lenient")]
+    retry_after: bool,
+    #[serde(deserialize_with = "lenient")]
+    send_cap: u32,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Rules {
+    #[serde(deserialize_with = "lenient")]
+    drain_grace_us: u64,
+    #[serde(deserialize_with = "lenient")]
+    fall_multiple: f64,
+    #[serde(deserialize_with = "lenient")]
+    ramp_time_us: u64,
+    #[serde(deserialize_with = "lenient")]
+    start_capacity: f64,
+    #[serde(deserialize_with = "lenient")]
+    tip_after_us: u64,
+}
+
+impl Env {
+    fn sku(&self, place: Option<i64>) -> Option<&str> {
+        self.skus.get(usize::try_from(place?).ok()?).map(String::as_str)
+    }
+
+    /// Place of a class by its name.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|c| c.name == name)
+    }
+
+    /// Name of the class at a place.
+    pub fn class_name(&self, place: usize) -> Option<&str> {
+        self.classes.get(place).map(|c| c.name.as_str())
+    }
+
+    /// Name of the zone at a place of the list.
+    pub fn zone_name(&self, place: usize) -> Option<&str> {
+        self.localities.get(place).map(String::as_str)
+    }
+
+    /// Name of the kind at a place of the list.
+    pub fn kind_name(&self, place: usize) -> Option<&str> {
+        self.skus.get(place).map(String::as_str)
+    }
+
+    /// How long a connection may take to come up, in milliseconds.
+    pub fn connect_timeout_ms(&self) -> f64 {
+        if self.policy_limits.connect_timeout_us == 0 {
+            400.0
+        } else {
+            self.policy_limits.connect_timeout_us as f64 / 1_000.0
+        }
+    }
+
+    /// How long a cache keeps an idle connection, in milliseconds.
+    pub fn keepalive_ms(&self) -> f64 {
+        if self.policy_limits.keepalive_us == 0 {
+            30_000.0
+        } else {
+            self.policy_limits.keepalive_us as f64 / 1_000.0
+        }
+    }
+
+    /// The most requests that one connection to a cache may carry at once.
+    pub fn streams_per_connection(&self) -> usize {
+        self.policy_limits.streams_per_conn.clamp(1, 256) as usize
+    }
+
+    /// For how long a drained member may still be named, in milliseconds.
+    pub fn drain_grace_ms(&self) -> f64 {
+        self.rules.drain_grace_us as f64 / 1_000.0
+    }
+
+    fn zone(&self, name: &str) -> Option<usize> {
+        self.localities.iter().position(|z| z == name)
+    }
+
+    /// The settings in the library's words.
+    pub fn settings(&self) -> Settings {
+        let (fam, limits, rules) = (&self.family_info, &self.policy_limits, &self.rules);
+        let home = self.zone(&self.locality);
+        let classes = self.classes.iter().enumerate().map(|(k, c)| Class {
+            aim: c.promise_us,
+            aim_stretch: c.aim_stretch,
+            deadline: c.deadline_us,
+            repeat: match c.semantics.as_str() {
+                "pure" => Repeat::Safe,
+                "token" => Repeat::Keyed,
+                _ => Repeat::Unsafe,
+            },
+            key_scope: match c.dedup_scope.as_str() {
+                "all" => KeyScope::All,
+                "zone" => KeyScope::Zone,
+                _ => KeyScope::Cell,
+            },
+            key_window: c.window_us,
+            worth: c.worth,
+            fresh_for: fam.max_age_us.get(k).copied().unwrap_or(0),
+            stale_for: fam.older_by_us.get(k).copied().unwrap_or(0),
+            uncacheable: fam.uncached.get(k).copied().unwrap_or(false),
+        });
+        let cold = ColdStart {
+            floor: rules.start_capacity,
+            ramp: rules.ramp_time_us,
+            multiple: rules.fall_multiple,
+            window: rules.tip_after_us,
+        };
+        Settings {
+            classes: classes.collect(),
+            routers: self.siblings,
+            routers_here: home.and_then(|z| fam.seats_by_zone.get(z).copied()).unwrap_or(self.siblings),
+            flow_kb_per_s: fam.flow_kb_per_s,
+            weights_known: matches!(self.weight_kind.as_str(), "nominal" | "rough"),
+            joins: fam.joins,
+            bypass: fam.may_pass_by,
+            hit_notes: matches!(fam.notes_given.as_str(), "hit" | "all"),
+            purge_done: fam.purge_done_us,
+            max_attempts: limits.send_cap,
+            cancelling: limits.cancelling,
+            probing: limits.probing,
+            max_wait_hint: if limits.retry_after { limits.max_retry_after_us } else { 0 },
+            subscribe: self.discovery == "ask",
+            cache_cold: cold,
+            parent_cold: ColdStart {
+                floor: fam.parent_floor,
+                ramp: fam.upper_cold_us,
+                multiple: fam.parent_breaks_at,
+                ..cold
+            },
+        }
+    }
+
+    /// One line of a list, in the library's words.
+    pub fn listing(&self, row: &Row) -> Result<Listing, String> {
+        let zone = self.zone(&row.zone);
+        let role = if self.sku(self.family_info.root_kind) == Some(&row.model) {
+            Role::Origin
+        } else if self.sku(self.family_info.mid_kind) == Some(&row.model) {
+            Role::Parent
+        } else if row.zone == self.locality {
+            Role::Cache
+        } else {
+            Role::FarCache
+        };
+        let life = match row.lifecycle.as_str() {
+            "live" => Life::Live,
+            "quiescing" => Life::Draining,
+            "dead" => Life::Gone,
+            other => return Err(format!("Table: unknown lifecycle {other:?}")),
+        };
+        Ok(Listing {
+            id: row.cache,
+            role,
+            life,
+            started: row.ready_at_us,
+            weight: row.power_hint.unwrap_or(1.0),
+            zone: zone.map_or(u32::MAX, |z| z as u32),
+            cell: row.cohort,
+        })
+    }
+}
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use asterstand::*;
+use calicobeam::*;
 use common::*;
 use std::collections::BTreeMap;
 
