--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,98 @@
+//! The one clock: Unix time in milliseconds as a floating-point number, which tests set by hand.
+
+use crate::Micros;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// A clock that all parts of a proxy share. Clones tell the same time.
+#[derive(Clone, Debug)]
+pub struct Clock {
+    source: Rc<Source>,
+}
+
+#[derive(Debug)]
+enum Source {
+    /// The system's clock, with the latest time that it told.
+    System(Cell<f64>),
+    /// A time set by a test.
+    Manual(Cell<f64>),
+}
+
+impl Clock {
+    /// The system's Unix clock. It never runs backwards, also where the system's does.
+    pub fn system() -> Self {
+        Self { source: Rc::new(Source::System(Cell::new(0.0))) }
+    }
+
+    /// A clock that stands still at `ms` until it is set.
+    pub fn manual(ms: f64) -> Self {
+        Self { source: Rc::new(Source::Manual(Cell::new(ms))) }
+    }
+
+    /// Unix milliseconds.
+    pub fn now(&self) -> f64 {
+        match &*self.source {
+            Source::Manual(at) => at.get(),
+            Source::System(last) => {
+                let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+                let now = (since.as_secs_f64() * 1_000.0).max(last.get());
+                last.set(now);
+                now
+            }
+        }
+    }
+
+    /// Moves a manual clock on; the system's clock is not to be moved.
+    pub fn advance(&self, ms: f64) {
+        if let Source::Manual(at) = &*self.source {
+            at.set(at.get() + ms.max(0.0));
+        }
+    }
+}
+
+/// Milliseconds as the decision module's microseconds: the only place where the two meet.
+pub fn micros(ms: f64) -> Micros {
+    (ms.max(0.0) * 1_000.0) as Micros
+}
+
+/// The module's microseconds as milliseconds.
+pub fn millis(us: Micros) -> f64 {
+    us as f64 / 1_000.0
+}
+
+/// A span of the clock as the runtime's timers take it; none is negative or endless.
+pub fn span(ms: f64) -> Duration {
+    Duration::from_secs_f64((ms / 1_000.0).clamp(0.0, 86_400.0))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_manual_clock_moves_only_when_told() {
+        let clock = Clock::manual(1_000.5);
+        let twin = clock.clone();
+        assert_eq!(clock.now(), 1_000.5);
+        twin.advance(2.25);
+        twin.advance(-50.0);
+        assert_eq!(clock.now(), 1_002.75);
+    }
+
+    #[test]
+    fn units_convert_both_ways() {
+        assert_eq!(micros(1.5), 1_500);
+        assert_eq!(micros(-3.0), 0);
+        assert_eq!(millis(2_250), 2.25);
+        assert_eq!(span(-1.0), Duration::ZERO);
+        assert_eq!(span(f64::INFINITY), Duration::from_secs(86_400));
+    }
+
+    #[test]
+    fn the_system_clock_does_not_run_backwards() {
+        let clock = Clock::system();
+        let first = clock.now();
+        assert!(clock.now() >= first && first > 1.6e12);
+    }
+}
--- /dev/null
+++ b/src/engine/mod.rs
@@ -0,0 +1,528 @@
+//! The engine behind both fronts: it turns what happens into the module's [`Event`]s and carries out its
+//! [`Action`]s. It decides nothing that the module decides, and knows no socket: what is to be done on
+//! sockets comes out as [`Effect`]s.
+
+pub mod host;
+
+use crate::clock::{micros, millis, Clock};
+use crate::memory::attempts::{Attempt, AttemptId, Attempts, Due, Stage};
+use crate::memory::connections::{Bounds, ConnId, Connections, Place};
+use crate::memory::counters::Counters;
+use crate::memory::requests::{Ask, Final, NotTaken, Requests};
+use crate::memory::roster::Roster;
+use crate::settings::Env;
+use crate::wire::frames::{News, Numbered};
+use crate::wire::lines::{Command, Get, Reply, Word};
+use crate::{Action, Event, MemberId, Note, RequestId, Router, Verdict};
+use std::collections::{BinaryHeap, VecDeque};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+/// How long before a member closes an idle connection this side does, as a share of that time.
+const IDLE_SHARE: f64 = 0.8;
+/// How often idle connections are looked for, in milliseconds.
+const HOUSEKEEPING_MS: f64 = 1_000.0;
+/// Silence on a connection, in milliseconds, after which an attempt that timed out there says that the path is
+/// dead: nothing more goes onto it, and a new connection tells at once whether the machine still answers.
+const SILENCE_MS: f64 = 1_500.0;
+
+/// What the host is to do on sockets.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Open a connection and report that it came up or not.
+    Open {
+        /// Its number.
+        conn: ConnId,
+        /// Where to.
+        address: SocketAddrV4,
+        /// How long it may take, in milliseconds.
+        within_ms: f64,
+    },
+    /// There is something to ask [`Engine::next_write`] for.
+    Wake(ConnId),
+    /// Give a client its final answer.
+    Answer(RequestId, Final),
+}
+
+/// What a connection's driver writes next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Next {
+    /// This, beginning now.
+    Write(Command),
+    /// Nothing for now.
+    Idle,
+    /// Nothing any more: the connection is to be closed.
+    Close,
+}
+
+/// The bounds of what an engine holds.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineBounds {
+    /// Requests that owe an answer.
+    pub requests: usize,
+    /// Connections to members.
+    pub connections: Bounds,
+}
+
+/// The engine. See the module's page.
+pub struct Engine {
+    clock: Clock,
+    env: Rc<Env>,
+    router: Router,
+    /// Counters of what passed.
+    pub counters: Counters,
+    requests: Requests,
+    attempts: Attempts,
+    connections: Connections,
+    roster: Roster,
+    timers: BinaryHeap<Due<u64>>,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    effects: VecDeque<Effect>,
+    last_no: u64,
+    tidied_ms: f64,
+}
+
+impl Engine {
+    /// An engine that knows its settings and no member yet.
+    pub fn new(clock: Clock, env: Rc<Env>, seed: u64, bounds: EngineBounds) -> Self {
+        let router = Router::new(env.settings(), seed);
+        Self {
+            tidied_ms: clock.now(),
+            clock,
+            env,
+            router,
+            counters: Counters::default(),
+            requests: Requests::new(bounds.requests),
+            attempts: Attempts::default(),
+            connections: Connections::new(bounds.connections),
+            roster: Roster::default(),
+            timers: BinaryHeap::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            effects: VecDeque::new(),
+            last_no: 0,
+        }
+    }
+
+    /// What is to be done on sockets, in order.
+    pub fn take_effect(&mut self) -> Option<Effect> {
+        self.effects.pop_front()
+    }
+
+    /// How many requests owe an answer.
+    pub fn owed(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Number of the bulletin's last event that was taken.
+    pub fn last_no(&self) -> u64 {
+        self.last_no
+    }
+
+    /// Counts all events up to this number as taken.
+    pub fn skip_to(&mut self, no: u64) {
+        self.last_no = self.last_no.max(no);
+    }
+
+    // ---- what happens ----
+
+    /// Takes an event of the bulletin. One that was taken before is skipped.
+    pub fn news(&mut self, item: Numbered) {
+        if matches!(item.news, News::Quiet) || item.no <= self.last_no {
+            return;
+        }
+        self.last_no = item.no;
+        self.counters.bulletin_events += 1;
+        match item.news {
+            News::Quiet => {}
+            News::Roster { full, targets } => {
+                let entries: Result<Vec<_>, _> = targets.iter().map(|t| self.env.listing(&t.row)).collect();
+                // The codec makes only states that the settings type knows.
+                let Ok(entries) = entries else { return };
+                for member in self.roster.update(full, &targets) {
+                    self.retire(member);
+                }
+                self.events.push_back(Event::Members { full, entries });
+            }
+            News::Purge { object, group, issued } => {
+                let ago = micros(self.clock.now() - issued);
+                self.events.push_back(Event::Purged { object, group, ago });
+                self.run();
+                // Guards the rule on purges: what waits for a connection was bounded before this purge.
+                let hit = |ask: &Ask| object.map_or(ask.group == group, |o| ask.object == o);
+                self.stale(|ask, _| hit(ask));
+            }
+        }
+        self.run();
+    }
+
+    /// Takes a request in. From now on it gets exactly one [`Effect::Answer`], unless its client leaves.
+    pub fn request(&mut self, ask: Ask) -> Result<(), NotTaken> {
+        let event = Event::Request {
+            id: ask.id,
+            class: ask.class,
+            object: ask.object,
+            group: ask.group,
+            part: ask.part,
+            size_kb: ask.size_kb,
+            give_up_at: micros(ask.give_up_ms),
+        };
+        self.requests.take(ask)?;
+        self.counters.requests += 1;
+        self.events.push_back(event);
+        self.run();
+        Ok(())
+    }
+
+    /// A client left: nothing is owed to it, and its attempts are called off.
+    pub fn left(&mut self, id: RequestId) {
+        if self.requests.end(id).is_some() {
+            self.counters.left += 1;
+            self.events.push_back(Event::Left { id });
+            self.run();
+        }
+    }
+
+    /// A connection came up.
+    pub fn connected(&mut self, conn: ConnId) {
+        let now = self.clock.now();
+        if let Some(c) = self.connections.get_mut(conn) {
+            (c.up, c.read_ms, c.used_ms) = (true, now, now);
+        }
+    }
+
+    /// A connection did not come up. `local` says that the fault is this machine's own.
+    pub fn connect_failed(&mut self, conn: ConnId, local: bool) {
+        self.counters.connect_failures += 1;
+        let verdict = if local { Verdict::NeverSent } else { Verdict::NoConnection };
+        self.closed(conn, verdict);
+    }
+
+    /// A connection ended, or what came over it can't be read.
+    pub fn broken(&mut self, conn: ConnId) {
+        // What was not written never ran; the connection is no more, so it says what a failed connect says.
+        self.closed(conn, Verdict::NoConnection);
+    }
+
+    fn closed(&mut self, conn: ConnId, unwritten: Verdict) {
+        let Some(c) = self.connections.remove(conn) else { return };
+        if !c.out.is_empty() {
+            self.counters.broken += 1;
+        }
+        let mut written: Vec<AttemptId> = c.out.into_values().collect();
+        written.sort_unstable();
+        written.into_iter().for_each(|id| self.settle(id, Verdict::Broken));
+        c.queue.into_iter().for_each(|id| self.settle(id, unwritten));
+        self.run();
+    }
+
+    /// A member answered.
+    pub fn answered(&mut self, conn: ConnId, reply: Reply) {
+        let now = self.clock.now();
+        let Some(c) = self.connections.get_mut(conn) else { return };
+        (c.read_ms, c.used_ms) = (now, now);
+        let Some(id) = c.out.remove(&reply.id) else {
+            // An answer that crossed a DROP, or to nothing that was asked here: no client gets it.
+            c.given_up.remove(&reply.id);
+            self.counters.member_late += 1;
+            return;
+        };
+        let (verdict, counter) = match reply.word {
+            Word::Ack | Word::Nomod => (Verdict::Served, &mut self.counters.member_ok),
+            Word::Noent => (Verdict::Miss, &mut self.counters.member_miss),
+            Word::Again => (Verdict::Refused, &mut self.counters.member_full),
+            Word::Eio => (Verdict::Error, &mut self.counters.member_error),
+            Word::Stale => (Verdict::NeverSent, &mut self.counters.member_miss),
+        };
+        *counter += 1;
+        if verdict == Verdict::Served {
+            let tag = reply.tag.unwrap_or_default();
+            // A member says that the client's copy holds only where the request named that copy.
+            let same = reply.word == Word::Nomod;
+            if same && self.requests.get(id.0).is_some_and(|ask| ask.cached.is_none()) {
+                self.settle(id, Verdict::Error);
+                return self.run();
+            }
+            let answer = if same { Final::Same { tag } } else { Final::Served { tag, body: reply.body } };
+            self.finish(id.0, answer);
+        }
+        self.settle(id, verdict);
+        self.run();
+        self.effects.push_back(Effect::Wake(conn));
+    }
+
+    /// Does what is due by now.
+    pub fn tick(&mut self) {
+        let now = self.clock.now();
+        while let Some(id) = self.attempts.overdue(now) {
+            self.time_out(now, id);
+            self.run();
+        }
+        while self.timers.peek().is_some_and(|Due(at, _)| *at <= now) {
+            if let Some(Due(_, token)) = self.timers.pop() {
+                self.events.push_back(Event::Timer { token });
+                self.run();
+            }
+        }
+        // Guards the rule that each request is answered in time, should the module ever forget one.
+        while let Some(id) = self.requests.overdue(now) {
+            self.counters.overdue += 1;
+            self.finish(id, Final::Failed { overdue: true });
+            self.events.push_back(Event::Left { id });
+            self.run();
+        }
+        if now >= self.tidied_ms + HOUSEKEEPING_MS {
+            self.tidied_ms = now;
+            self.tidy(now);
+        }
+    }
+
+    /// When there is something to do next.
+    pub fn next_due(&mut self) -> f64 {
+        let tidy = self.tidied_ms + HOUSEKEEPING_MS;
+        let attempt = self.attempts.next_due().unwrap_or(f64::INFINITY);
+        let timer = self.timers.peek().map_or(f64::INFINITY, |Due(at, _)| *at);
+        let request = self.requests.next_due().unwrap_or(f64::INFINITY);
+        tidy.min(attempt).min(timer).min(request)
+    }
+
+    fn time_out(&mut self, now: f64, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(id) else { return };
+        let (conn, stage) = (attempt.conn, attempt.stage);
+        self.counters.attempts_timed_out += 1;
+        self.detach(id, true);
+        if let (Stage::Written(at), Some(c)) = (stage, self.connections.get_mut(conn)) {
+            c.closing |= now - c.read_ms.max(at) > SILENCE_MS;
+        }
+        // One that still waited for its connection has not run.
+        let verdict = if stage == Stage::Queued { Verdict::NoConnection } else { Verdict::TimedOut };
+        self.settle(id, verdict);
+    }
+
+    fn tidy(&mut self, now: f64) {
+        let idle = self.env.keepalive_ms() * IDLE_SHARE;
+        for (conn, c) in self.connections.iter_mut() {
+            c.closing |= now - c.used_ms > idle && c.load() == 0;
+            if c.closing && c.load() == 0 {
+                self.effects.push_back(Effect::Wake(*conn));
+            }
+        }
+    }
+
+    // ---- what the module wants ----
+
+    /// Hands the module all that happened, and carries out what it wants, until there is nothing more.
+    fn run(&mut self) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.router.handle(micros(self.clock.now()), &event, &mut actions);
+            actions.drain(..).for_each(|action| self.carry_out(action));
+            self.actions = actions;
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        let now = self.clock.now();
+        match action {
+            Action::Send { id, to, source, join, renew, max_age, keep, timeout } => {
+                let Some(number) = self.requests.number(id) else { return };
+                self.counters.attempts += 1;
+                let (max_age_ms, due_ms) = (millis(max_age), now + millis(timeout));
+                let source = source.filter(|s| *s != to);
+                let (conn, stage, sent_ms) = (0, Stage::Queued, now);
+                let id_text = self.requests.get(id).map(|ask| ask.id_text.clone()).unwrap_or_default();
+                #[rustfmt::skip]
+                let attempt = Attempt {
+                    id_text, to, source, join, renew, max_age_ms, keep, sent_ms, due_ms, conn, stage,
+                };
+                self.place(now, (id, number), attempt);
+            }
+            Action::Refuse { id, wait } => {
+                let overdue = self.is_overdue(now, id);
+                self.finish(id, Final::Refused { wait_ms: millis(wait), overdue });
+            }
+            Action::Fail { id } => {
+                let overdue = self.is_overdue(now, id);
+                self.finish(id, Final::Failed { overdue });
+            }
+            Action::Cancel { id, attempt } => {
+                let id = (id, attempt);
+                if self.attempts.get(id).is_some() {
+                    self.counters.attempts_cancelled += 1;
+                    self.detach(id, true);
+                    self.settle(id, Verdict::Cancelled);
+                }
+            }
+            Action::Timer { token, at } => self.timers.push(Due(millis(at), token)),
+            // Probes are not allowed on this platform, and its PING tells only that a connection works.
+            Action::Probe { member } => {
+                self.events.push_back(Event::Probed { member, verdict: Verdict::NeverSent });
+            }
+            // The bulletin tells all changes unasked.
+            Action::Subscribe => {}
+        }
+    }
+
+    /// Whether a request ends for want of time: less is left than any attempt could use.
+    fn is_overdue(&self, now: f64, id: RequestId) -> bool {
+        self.requests.get(id).is_some_and(|ask| now + 50.0 >= ask.give_up_ms)
+    }
+
+    fn place(&mut self, now: f64, id: AttemptId, mut attempt: Attempt) {
+        let member = attempt.to;
+        let Some(address) = self.roster.address(member) else {
+            self.attempts.put(id, attempt);
+            return self.settle(id, Verdict::NeverSent);
+        };
+        let place = self.connections.place(member, id.0, now);
+        match place {
+            Place::On(conn) | Place::New(conn) => {
+                attempt.conn = conn;
+                self.attempts.put(id, attempt);
+                if let Some(c) = self.connections.get_mut(conn) {
+                    c.queue.push_back(id);
+                }
+                let within_ms = self.env.connect_timeout_ms();
+                self.effects.push_back(match place {
+                    Place::New(_) => Effect::Open { conn, address, within_ms },
+                    _ => Effect::Wake(conn),
+                });
+                self.counters.connections += u64::from(matches!(place, Place::New(_)));
+            }
+            Place::Nowhere => {
+                self.counters.attempts_unplaced += 1;
+                self.attempts.put(id, attempt);
+                self.settle(id, Verdict::NeverSent);
+            }
+        }
+    }
+
+    /// What a connection's driver writes next. An attempt that waited is looked at again here, before its
+    /// first byte: guards the rules on drains, purges and answered requests.
+    pub fn next_write(&mut self, conn: ConnId) -> Next {
+        loop {
+            let now = self.clock.now();
+            let Some(c) = self.connections.get_mut(conn) else { return Next::Close };
+            if let Some(text) = c.drops.pop_front() {
+                c.used_ms = now;
+                return Next::Write(Command::Drop(text));
+            }
+            let Some(id) = c.queue.pop_front() else {
+                return if c.closing && c.load() == 0 { Next::Close } else { Next::Idle };
+            };
+            if let Some(get) = self.written(now, id) {
+                return Next::Write(Command::Get(Box::new(get)));
+            }
+            self.counters.attempts_stale += 1;
+            self.settle(id, Verdict::NeverSent);
+            self.run();
+        }
+    }
+
+    /// Marks an attempt as written from now on, and words it; none if it is stale.
+    fn written(&mut self, now: f64, id: AttemptId) -> Option<Get> {
+        let ask = self.requests.get(id.0)?;
+        let attempt = self.attempts.get_mut(id)?;
+        let able = |member: MemberId| self.roster.address(member).is_some();
+        let left = attempt.due_ms.min(ask.give_up_ms) - now;
+        if !able(attempt.to) || !attempt.source.is_none_or(able) || left < 1.0 {
+            return None;
+        }
+        // A copy ages while the attempt waits; 0 would say any age that the class allows.
+        let max_age_ms = match attempt.max_age_ms {
+            0.0 => 0,
+            age => ((age - (now - attempt.sent_ms)) as u64).max(1),
+        };
+        let c = self.connections.get_mut(attempt.conn)?;
+        c.used_ms = now;
+        c.out.insert(id.0, id);
+        attempt.stage = Stage::Written(now);
+        self.counters.attempts_written += 1;
+        Some(Get {
+            id: ask.id_text.clone(),
+            class: self.env.class_name(ask.class)?.to_string(),
+            object: ask.object_text.clone(),
+            part: ask.part,
+            wait_ms: (left as u64).max(1),
+            key: ask.key.clone(),
+            source: attempt.source,
+            keep: attempt.keep,
+            max_age_ms,
+            join: attempt.join,
+            renew: attempt.renew,
+            cached: ask.cached.clone(),
+            body: ask.body.clone(),
+        })
+    }
+
+    // ---- ends ----
+
+    /// Gives a request its final answer, if it is still owed one.
+    fn finish(&mut self, id: RequestId, answer: Final) {
+        if self.requests.end(id).is_some() {
+            let counter = match &answer {
+                Final::Served { .. } => &mut self.counters.served,
+                Final::Same { .. } => &mut self.counters.unchanged,
+                Final::Refused { .. } => &mut self.counters.refused,
+                Final::Failed { .. } => &mut self.counters.failed,
+            };
+            *counter += 1;
+            self.effects.push_back(Effect::Answer(id, answer));
+        }
+    }
+
+    /// Ends an attempt, and tells the module at the next [`Self::run`].
+    fn settle(&mut self, id: AttemptId, verdict: Verdict) {
+        let Some(attempt) = self.attempts.end(id) else { return };
+        let took = micros(self.clock.now() - attempt.sent_ms);
+        let closed = self.requests.get(id.0).is_none();
+        self.events.push_back(Event::Outcome {
+            id: id.0,
+            attempt: id.1,
+            verdict,
+            note: Note::Silent,
+            took,
+            closed,
+        });
+    }
+
+    /// Takes an attempt off its connection; what was written is given up there.
+    fn detach(&mut self, id: AttemptId, wake: bool) {
+        let Some(attempt) = self.attempts.get(id) else { return };
+        let (conn, written, text) = (attempt.conn, attempt.stage != Stage::Queued, attempt.id_text.clone());
+        let Some(c) = self.connections.get_mut(conn) else { return };
+        if written {
+            c.out.remove(&id.0);
+            c.give_up(id.0, text);
+        } else {
+            c.queue.retain(|queued| *queued != id);
+        }
+        if wake {
+            self.effects.push_back(Effect::Wake(conn));
+        }
+    }
+
+    /// Ends the attempts that wait for a connection and that a change has made stale.
+    fn stale(&mut self, is: impl Fn(&Ask, &Attempt) -> bool) {
+        let waits = self.attempts.iter().filter(|(_, a)| a.stage == Stage::Queued);
+        let hit = waits.filter(|(id, a)| self.requests.get(id.0).is_some_and(|ask| is(ask, a)));
+        let mut hit: Vec<AttemptId> = hit.map(|(id, _)| *id).collect();
+        hit.sort_unstable();
+        for id in hit {
+            self.counters.attempts_stale += 1;
+            self.detach(id, false);
+            self.settle(id, Verdict::NeverSent);
+        }
+    }
+
+    /// A member drains, is gone or has moved: nothing new goes there, whatever waits for it is asked of the
+    /// module again, and its connections end once they have nothing out. Its address may be another's soon.
+    fn retire(&mut self, member: MemberId) {
+        for (conn, c) in self.connections.iter_mut().filter(|(_, c)| c.member == member) {
+            c.closing = true;
+            self.effects.push_back(Effect::Wake(*conn));
+        }
+        self.stale(|_, attempt| attempt.to == member || attempt.source == Some(member));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,9 +56,14 @@
 //! assert!(matches!(actions[0], Action::Send { id: 1, to, .. } if to != first));
 //! ```
 
+pub mod clock;
+pub mod engine;
 mod interface;
+pub mod lifecycle;
+pub mod memory;
 mod policy;
 pub mod settings;
+pub mod wire;
 
 pub use interface::*;
 pub use policy::Router;
--- /dev/null
+++ b/src/lifecycle/config.rs
@@ -0,0 +1,131 @@
+//! The configuration of one proxy, as the platform hands it over.
+
+use crate::settings::Env;
+use crate::wire::frames::Known;
+use serde::Deserialize;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+/// What is wrong with a configuration.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// The file can't be read.
+    #[error("{}: {error}", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// The text is not what it should be.
+    #[error("{}: {error}", path.display())]
+    Malformed {
+        /// The file.
+        path: PathBuf,
+        /// What, where.
+        error: String,
+    },
+    /// A field's value can't be used.
+    #[error("{}: field `{field}`: {why}", path.display())]
+    Field {
+        /// The file.
+        path: PathBuf,
+        /// The field.
+        field: &'static str,
+        /// What is wrong.
+        why: String,
+    },
+}
+
+/// The configuration.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Config {
+    /// The proxy's name.
+    #[serde(default)]
+    pub name: String,
+    /// Where clients connect.
+    listen: String,
+    /// Seed of what is random: 16 hex digits.
+    #[serde(default)]
+    seed: String,
+    /// What the machine allows.
+    #[serde(default)]
+    pub limits: MachineLimits,
+    /// Where the bulletin listens.
+    bulletin: String,
+    /// The events of the start.
+    #[serde(default)]
+    pub known: Known,
+    /// The settings.
+    pub settings: Env,
+}
+
+/// What the machine allows.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct MachineLimits {
+    /// File descriptors.
+    pub sockets: usize,
+}
+
+impl Default for MachineLimits {
+    fn default() -> Self {
+        Self { sockets: 1_024 }
+    }
+}
+
+/// Reads a JSON file into a type.
+pub fn read_json<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, ConfigError> {
+    let mut text =
+        std::fs::read(path).map_err(|error| ConfigError::Unreadable { path: path.to_path_buf(), error })?;
+    simd_json::from_slice(&mut text)
+        .map_err(|error| ConfigError::Malformed { path: path.to_path_buf(), error: error.to_string() })
+}
+
+/// An IPv4 address that is one host's own.
+pub fn address(text: &str) -> Result<SocketAddr, String> {
+    match text.parse::<SocketAddr>() {
+        Ok(at) if at.ip() == Ipv4Addr::UNSPECIFIED => Err(format!("{text:?} is not one address")),
+        Ok(at) => Ok(at),
+        Err(error) => Err(format!("{text:?}: {error}")),
+    }
+}
+
+impl Config {
+    /// Reads and checks a configuration.
+    pub fn read(path: &Path) -> Result<Self, ConfigError> {
+        let config: Self = read_json(path)?;
+        let field = |field, why| ConfigError::Field { path: path.to_path_buf(), field, why };
+        address(&config.listen).map_err(|why| field("listen", why))?;
+        address(&config.bulletin).map_err(|why| field("bulletin", why))?;
+        config.seed().map_err(|why| field("seed", why))?;
+        config.settings.check().map_err(|why| field("settings", why))?;
+        let events = config.known.events().map_err(|why| field("known", why))?;
+        for event in events {
+            config.settings.check_event(&event).map_err(|why| field("known", why))?;
+        }
+        if config.limits.sockets < 64 {
+            return Err(field("limits.sockets", format!("{} are too few", config.limits.sockets)));
+        }
+        Ok(config)
+    }
+
+    /// Where clients connect.
+    pub fn listen(&self) -> Result<SocketAddr, String> {
+        address(&self.listen)
+    }
+
+    /// Where the bulletin listens.
+    pub fn bulletin(&self) -> Result<SocketAddr, String> {
+        address(&self.bulletin)
+    }
+
+    /// Seed of what is random.
+    pub fn seed(&self) -> Result<u64, String> {
+        match self.seed.as_str() {
+            "" => Ok(0),
+            text => u64::from_str_radix(text, 16).map_err(|e| format!("{text:?}: {e}")),
+        }
+    }
+}
--- /dev/null
+++ b/src/lifecycle/mod.rs
@@ -0,0 +1,4 @@
+//! Start and stop: configuration, the serving process, signals.
+
+pub mod config;
+pub mod serve;
--- /dev/null
+++ b/src/lifecycle/serve.rs
@@ -0,0 +1,126 @@
+//! The serving process: start, signals, stop.
+
+use super::config::Config;
+use crate::clock::{span, Clock};
+use crate::engine::host::Host;
+use crate::engine::{Engine, EngineBounds};
+use crate::memory::connections::Bounds;
+use crate::wire::bulletin;
+use crate::wire::client::{accept, Front, Limits, Stop};
+use crate::wire::platform::Platform;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::Notify;
+
+/// How long new connections are taken after SIGTERM, in milliseconds.
+const ACCEPT_ON_MS: f64 = 700.0;
+/// The longest that a stop waits for answers to be taken, in milliseconds, beyond the longest deadline.
+const STOP_MORE_MS: f64 = 500.0;
+/// How often a stop looks whether all is done, in milliseconds.
+const STOP_LOOK_MS: f64 = 5.0;
+
+/// Why a process could not start.
+#[derive(Debug, Error)]
+pub enum ServeError {
+    /// A value of the configuration.
+    #[error("field `{0}`: {1}")]
+    Field(&'static str, String),
+    /// An address can't be listened on, or a signal not be awaited.
+    #[error("{0}: {1}")]
+    System(String, std::io::Error),
+}
+
+/// Starts the engine of a configuration, with what was known at the start.
+pub fn engine(config: &Config, clock: &Clock) -> Result<(Engine, Rc<crate::settings::Env>), ServeError> {
+    let env = Rc::new(config.settings.clone());
+    let seed = config.seed().map_err(|why| ServeError::Field("seed", why))?;
+    let sockets = config.limits.sockets;
+    let connections = Bounds {
+        total: sockets * 2 / 5,
+        member: (sockets / 64).clamp(2, 16),
+        spread: 4,
+        streams: env.streams_per_connection(),
+    };
+    let bounds = EngineBounds { requests: sockets * 2 / 5, connections };
+    let mut engine = Engine::new(clock.clone(), env.clone(), seed, bounds);
+    for event in config.known.events().map_err(|why| ServeError::Field("known", why))? {
+        engine.news(event);
+    }
+    engine.skip_to(config.known.no);
+    Ok((engine, env))
+}
+
+/// Serves until SIGTERM or SIGINT, and ends once all that was taken is answered.
+pub async fn serve(config: Config) -> Result<(), ServeError> {
+    let clock = Clock::system();
+    let (engine, env) = engine(&config, &clock)?;
+    let listen = config.listen().map_err(|why| ServeError::Field("listen", why))?;
+    let bulletin = config.bulletin().map_err(|why| ServeError::Field("bulletin", why))?;
+    let host = Host::new(clock, engine);
+    let await_signal = |kind| signal(kind).map_err(|e| ServeError::System("signals".into(), e));
+    let mut terminate = await_signal(SignalKind::terminate())?;
+    let mut interrupt = await_signal(SignalKind::interrupt())?;
+    let mut report = await_signal(SignalKind::user_defined1())?;
+    let listener =
+        TcpListener::bind(listen).await.map_err(|e| ServeError::System(format!("listen on {listen}"), e))?;
+    let connections = config.limits.sockets * 2 / 5;
+    let platform: Rc<dyn Front> =
+        Rc::new(Platform::new(env.clone(), Limits { connections, ..Limits::default() }));
+    let (stop, closing) = (Rc::new(Stop::default()), Rc::new(Notify::new()));
+    host.spawn("accepting", accept(host.clone(), platform, listener, stop.clone(), closing.clone()));
+    always(&host, "keeping time", {
+        let host = host.clone();
+        move || host.clone().keep_time()
+    });
+    always(&host, "the bulletin", {
+        let (host, env) = (host.clone(), env.clone());
+        move || bulletin::keep(host.clone(), env.clone(), bulletin)
+    });
+    eprintln!("calicobeam: {} serves on {listen}", config.name);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = report.recv() => print_counters(&host),
+        }
+    }
+    eprintln!("calicobeam: {} stops", config.name);
+    tokio::time::sleep(span(ACCEPT_ON_MS)).await;
+    closing.notify_one();
+    stop.begin();
+    let until = host.clock.now() + env.longest_deadline_ms().max(3_000.0) + STOP_MORE_MS;
+    // A moment for connections that the machine had accepted and this process not yet.
+    tokio::time::sleep(span(4.0 * STOP_LOOK_MS)).await;
+    while (stop.open.get() > 0 || host.with(|engine| engine.owed()) > 0) && host.clock.now() < until {
+        tokio::time::sleep(span(STOP_LOOK_MS)).await;
+    }
+    print_counters(&host);
+    Ok(())
+}
+
+fn print_counters(host: &Rc<Host>) {
+    eprint!("{}", host.with(|engine| engine.counters.to_string()));
+}
+
+/// Runs a task that must never end: guards against a panic in it stopping what all others need.
+fn always<F, T>(host: &Rc<Host>, what: &'static str, make: F)
+where
+    F: Fn() -> T + 'static,
+    T: Future<Output = ()> + 'static,
+{
+    let own = host.clone();
+    host.spawn(what, async move {
+        loop {
+            let task = tokio::task::spawn_local(make());
+            if task.await.is_err() {
+                own.with(|engine| engine.counters.panics += 1);
+                eprintln!("calicobeam: {what} ended in a panic and starts again");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    });
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,80 @@
 //! The edge proxy's command line.
-fn main() {}
+
+use argh::FromArgs;
+use calicobeam::lifecycle::config::Config;
+use calicobeam::lifecycle::serve;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// The edge proxy of the listing-media deployment.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Serve(Serve),
+    Version(Version),
+    Check(Check),
+}
+
+/// Serve until SIGTERM.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+struct Serve {
+    /// the configuration; else the file that NODE_CONFIG names
+    #[argh(option)]
+    config: Option<PathBuf>,
+}
+
+/// Print the version.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "version")]
+struct Version {}
+
+/// Check a configuration and say what is wrong with it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// the configuration; else the file that NODE_CONFIG names
+    #[argh(option)]
+    config: Option<PathBuf>,
+}
+
+fn read(path: Option<PathBuf>) -> Result<Config, String> {
+    let path = path.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
+    let path = path.ok_or("no configuration: give --config FILE or set NODE_CONFIG")?;
+    Config::read(&path).map_err(|e| e.to_string())
+}
+
+fn run() -> Result<(), String> {
+    match argh::from_env::<Arguments>().command {
+        Command::Version(_) => println!("calicobeam {}", env!("CARGO_PKG_VERSION")),
+        Command::Check(check) => {
+            let config = read(check.config)?;
+            println!("calicobeam: the configuration of {:?} is in order", config.name);
+        }
+        Command::Serve(arguments) => {
+            let config = read(arguments.config)?;
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+            let tasks = tokio::task::LocalSet::new();
+            let served = tasks.block_on(&runtime, serve::serve(config));
+            return served.map_err(|e| e.to_string());
+        }
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("calicobeam: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/memory/attempts.rs
@@ -0,0 +1,117 @@
+//! Attempts that are out: queued for a connection, or written to one.
+
+use super::connections::ConnId;
+use crate::{MemberId, RequestId};
+use std::cmp::Ordering;
+use std::collections::{BinaryHeap, HashMap};
+
+/// An attempt: its request and its number there.
+pub type AttemptId = (RequestId, u32);
+
+/// Where an attempt stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stage {
+    /// It waits for its connection; no byte has been written.
+    Queued,
+    /// Its first byte was written at this time.
+    Written(f64),
+}
+
+/// An attempt with what the module asked of it.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Its request's id as it is passed on.
+    pub id_text: String,
+    /// Where it goes.
+    pub to: MemberId,
+    /// Where a miss is filled from, if anywhere.
+    pub source: Option<MemberId>,
+    /// Join a fill under way.
+    pub join: bool,
+    /// Renew an ageing copy behind.
+    pub renew: bool,
+    /// Oldest copy that will do, in milliseconds from when it was asked for; 0 for the class's own bound.
+    pub max_age_ms: f64,
+    /// Rank at which a copy is kept.
+    pub keep: u8,
+    /// When the module sent it.
+    pub sent_ms: f64,
+    /// When its time is over.
+    pub due_ms: f64,
+    /// Its connection.
+    pub conn: ConnId,
+    /// Where it stands.
+    pub stage: Stage,
+}
+
+/// A time at which something is due, the earliest first in a heap.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Due<T>(pub f64, pub T);
+
+impl<T: PartialEq> Eq for Due<T> {}
+
+impl<T: PartialEq> PartialOrd for Due<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<T: PartialEq> Ord for Due<T> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.0.total_cmp(&self.0)
+    }
+}
+
+/// All attempts that are out.
+#[derive(Debug, Default)]
+pub struct Attempts {
+    out: HashMap<AttemptId, Attempt>,
+    due: BinaryHeap<Due<AttemptId>>,
+}
+
+impl Attempts {
+    /// Puts an attempt out.
+    pub fn put(&mut self, id: AttemptId, attempt: Attempt) {
+        self.due.push(Due(attempt.due_ms, id));
+        self.out.insert(id, attempt);
+    }
+
+    /// An attempt that is out.
+    pub fn get(&self, id: AttemptId) -> Option<&Attempt> {
+        self.out.get(&id)
+    }
+
+    /// The same, to change it.
+    pub fn get_mut(&mut self, id: AttemptId) -> Option<&mut Attempt> {
+        self.out.get_mut(&id)
+    }
+
+    /// Ends an attempt; only the first caller gets it.
+    pub fn end(&mut self, id: AttemptId) -> Option<Attempt> {
+        self.out.remove(&id)
+    }
+
+    /// Attempts that are out.
+    pub fn iter(&self) -> impl Iterator<Item = (&AttemptId, &Attempt)> {
+        self.out.iter()
+    }
+
+    /// When the next one's time is over.
+    pub fn next_due(&mut self) -> Option<f64> {
+        while let Some(Due(at, id)) = self.due.peek() {
+            if self.out.contains_key(id) {
+                return Some(*at);
+            }
+            self.due.pop();
+        }
+        None
+    }
+
+    /// One whose time is over.
+    pub fn overdue(&mut self, now: f64) -> Option<AttemptId> {
+        if self.next_due()? > now {
+            return None;
+        }
+        self.due.pop().map(|Due(_, id)| id)
+    }
+}
--- /dev/null
+++ b/src/memory/connections.rs
@@ -0,0 +1,183 @@
+//! Connections to members, with what waits for them and what is out on them.
+
+use super::attempts::AttemptId;
+use crate::{MemberId, RequestId};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+
+/// A connection's number; never used again.
+pub type ConnId = u64;
+
+/// Requests given up on a connection that are remembered there.
+const GIVEN_UP_MOST: usize = 256;
+
+/// A connection as the engine sees it.
+#[derive(Debug, Default)]
+pub struct Connection {
+    /// The member at its other end.
+    pub member: MemberId,
+    /// It has come up.
+    pub up: bool,
+    /// Nothing new goes onto it; it is closed once nothing is out on it.
+    pub closing: bool,
+    /// Attempts that wait to be written.
+    pub queue: VecDeque<AttemptId>,
+    /// Attempts that were written, by the id on the wire.
+    pub out: HashMap<RequestId, AttemptId>,
+    /// Requests to be given up.
+    pub drops: VecDeque<String>,
+    /// Requests given up here whose answer may still come.
+    pub given_up: HashSet<RequestId>,
+    given_up_order: VecDeque<RequestId>,
+    /// When something was last written or read.
+    pub used_ms: f64,
+    /// When something was last read.
+    pub read_ms: f64,
+}
+
+impl Connection {
+    /// What it has to do.
+    pub fn load(&self) -> usize {
+        self.queue.len() + self.out.len()
+    }
+
+    /// Whether a request can go onto it: guards against an answer to an attempt given up being taken for that
+    /// of a later attempt of the same request, which has the same id.
+    fn takes(&self, id: RequestId) -> bool {
+        let queued = || self.queue.iter().any(|(queued, _)| *queued == id);
+        !self.closing && !self.out.contains_key(&id) && !self.given_up.contains(&id) && !queued()
+    }
+
+    /// Remembers that a request was given up here.
+    pub fn give_up(&mut self, id: RequestId, text: String) {
+        self.drops.push_back(text);
+        if self.given_up.insert(id) {
+            self.given_up_order.push_back(id);
+        }
+        while self.given_up_order.len() > GIVEN_UP_MOST {
+            if let Some(old) = self.given_up_order.pop_front() {
+                self.given_up.remove(&old);
+            }
+        }
+    }
+}
+
+/// How many connections there may be, and how many requests on each.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Connections to all members.
+    pub total: usize,
+    /// Connections to one member.
+    pub member: usize,
+    /// Requests on a connection from which on a further one is opened.
+    pub spread: usize,
+    /// Requests on a connection.
+    pub streams: usize,
+}
+
+/// Where an attempt goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// Onto this connection.
+    On(ConnId),
+    /// Onto a new one.
+    New(ConnId),
+    /// Nowhere: every connection is full.
+    Nowhere,
+}
+
+/// All connections to members.
+#[derive(Debug)]
+pub struct Connections {
+    all: BTreeMap<ConnId, Connection>,
+    next: ConnId,
+    bounds: Bounds,
+}
+
+impl Connections {
+    /// None yet.
+    pub fn new(bounds: Bounds) -> Self {
+        Self { all: BTreeMap::new(), next: 0, bounds }
+    }
+
+    /// Finds a connection to a member for a request, the least busy one first.
+    pub fn place(&mut self, member: MemberId, id: RequestId, now: f64) -> Place {
+        let mine = || self.all.iter().filter(|(_, c)| c.member == member);
+        let best = mine().filter(|(_, c)| c.takes(id)).min_by_key(|(k, c)| (c.load(), !c.up, **k));
+        let best = best.map(|(k, c)| (*k, c.load()));
+        let room = self.all.len() < self.bounds.total && mine().count() < self.bounds.member;
+        match best {
+            Some((conn, load)) if load < self.bounds.spread || (!room && load < self.bounds.streams) => {
+                Place::On(conn)
+            }
+            _ if room => {
+                self.next += 1;
+                let fresh = Connection { member, used_ms: now, read_ms: now, ..Connection::default() };
+                self.all.insert(self.next, fresh);
+                Place::New(self.next)
+            }
+            _ => Place::Nowhere,
+        }
+    }
+
+    /// A connection.
+    pub fn get_mut(&mut self, conn: ConnId) -> Option<&mut Connection> {
+        self.all.get_mut(&conn)
+    }
+
+    /// Forgets a connection that has ended.
+    pub fn remove(&mut self, conn: ConnId) -> Option<Connection> {
+        self.all.remove(&conn)
+    }
+
+    /// All of them.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&ConnId, &mut Connection)> {
+        self.all.iter_mut()
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn requests_spread_over_connections_up_to_the_bounds() {
+        let mut all = Connections::new(Bounds { total: 3, member: 2, spread: 1, streams: 2 });
+        let mut put = |member, id: u64| {
+            let place = all.place(member, id, 0.0);
+            if let Place::On(conn) | Place::New(conn) = place {
+                all.get_mut(conn).unwrap().queue.push_back((id, 0));
+            }
+            place
+        };
+        assert_eq!(put(7, 1), Place::New(1));
+        assert_eq!(put(7, 2), Place::New(2));
+        assert_eq!(put(7, 3), Place::On(1));
+        assert_eq!(put(7, 4), Place::On(2));
+        assert_eq!(put(7, 5), Place::Nowhere);
+        assert_eq!(put(8, 6), Place::New(3));
+        assert_eq!(put(9, 7), Place::Nowhere);
+    }
+
+    /// Guards against a late answer to the first attempt ending the second.
+    #[test]
+    fn a_request_given_up_on_a_connection_does_not_go_there_again() {
+        let mut all = Connections::new(Bounds { total: 9, member: 9, spread: 9, streams: 9 });
+        let Place::New(conn) = all.place(7, 1, 0.0) else { panic!() };
+        all.get_mut(conn).unwrap().give_up(1, String::new());
+        assert_eq!(all.place(7, 2, 0.0), Place::On(conn));
+        assert_eq!(all.place(7, 1, 0.0), Place::New(conn + 1));
+        let c = all.get_mut(conn).unwrap();
+        (10..10 + 2 * GIVEN_UP_MOST as u64).for_each(|id| c.give_up(id, String::new()));
+        assert_eq!(c.given_up.len(), GIVEN_UP_MOST);
+    }
+}
--- /dev/null
+++ b/src/memory/counters.rs
@@ -0,0 +1,85 @@
+//! Counters of what is taken in, sent and answered, by kind.
+
+use std::fmt;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident,)*) => {
+        /// Counts since the start.
+        #[derive(Clone, Debug, Default, PartialEq, Eq)]
+        pub struct Counters {
+            $($(#[$doc])* pub $name: u64,)*
+        }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                $(writeln!(f, "{} {}", stringify!($name), self.$name)?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Client connections accepted.
+    clients,
+    /// Client connections that could not be accepted.
+    accept_failures,
+    /// Requests taken in.
+    requests,
+    /// Requests that could not be read.
+    malformed_requests,
+    /// Requests with no valid token.
+    forbidden_requests,
+    /// Requests whose client left before the answer.
+    left,
+    /// Answers: served.
+    served,
+    /// Answers: the client's copy is the one.
+    unchanged,
+    /// Answers: refused.
+    refused,
+    /// Answers: failed.
+    failed,
+    /// Answers that the request table gave because the module had not in time.
+    overdue,
+    /// Answers that could not be written whole.
+    unwritten,
+    /// Connections opened to members.
+    connections,
+    /// Connections to members that did not come up.
+    connect_failures,
+    /// Connections to members that broke with requests on them.
+    broken,
+    /// Connections to members dropped for what came over them.
+    malformed_members,
+    /// Attempts asked for by the module.
+    attempts,
+    /// Attempts written.
+    attempts_written,
+    /// Attempts found stale before their first byte.
+    attempts_stale,
+    /// Attempts called off.
+    attempts_cancelled,
+    /// Attempts that ran out of time.
+    attempts_timed_out,
+    /// Attempts that no connection had room for.
+    attempts_unplaced,
+    /// Members' answers: the bytes, or that the client's copy holds.
+    member_ok,
+    /// Members' answers: a miss.
+    member_miss,
+    /// Members' answers: full.
+    member_full,
+    /// Members' answers: an error.
+    member_error,
+    /// Members' answers that nobody waited for any more.
+    member_late,
+    /// Links to the bulletin made.
+    bulletin_links,
+    /// Links to the bulletin dropped for silence or for what came over them.
+    bulletin_faults,
+    /// Events of the bulletin.
+    bulletin_events,
+    /// Tasks that ended in a panic.
+    panics,
+}
--- /dev/null
+++ b/src/memory/mod.rs
@@ -0,0 +1,8 @@
+//! What is kept in memory, each part bounded: requests that owe an answer, attempts, connections to members,
+//! the roster and the counters.
+
+pub mod attempts;
+pub mod connections;
+pub mod counters;
+pub mod requests;
+pub mod roster;
--- /dev/null
+++ b/src/memory/requests.rs
@@ -0,0 +1,164 @@
+//! The table of requests that are owed one final answer.
+
+use super::attempts::Due;
+use crate::RequestId;
+use bytes::Bytes;
+use std::collections::{BinaryHeap, HashMap};
+
+/// A client's request as a front hands it to the engine.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// Its id, new to this proxy.
+    pub id: RequestId,
+    /// The id as it is passed on.
+    pub id_text: String,
+    /// Place of its class in the settings.
+    pub class: usize,
+    /// The object.
+    pub object: u64,
+    /// The object as it is passed on.
+    pub object_text: String,
+    /// The part.
+    pub part: u32,
+    /// The object's group.
+    pub group: u32,
+    /// KB of the part; 0 where unknown.
+    pub size_kb: f64,
+    /// When the answer must be on its way, in Unix milliseconds.
+    pub give_up_ms: f64,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Bare tag of the client's copy.
+    pub cached: Option<String>,
+    /// Body of a write.
+    pub body: Bytes,
+}
+
+/// The one final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Final {
+    /// The bytes of the part, from a member's answer to this request.
+    Served {
+        /// Tag of the copy.
+        tag: String,
+        /// The bytes.
+        body: Bytes,
+    },
+    /// The client's copy would be served.
+    Same {
+        /// Tag of the copy.
+        tag: String,
+    },
+    /// Refused: trying again does no harm.
+    Refused {
+        /// How long to stay away, in milliseconds; 0 for no advice.
+        wait_ms: f64,
+        /// The request's time was over.
+        overdue: bool,
+    },
+    /// Failed; nothing is promised.
+    Failed {
+        /// The request's time was over.
+        overdue: bool,
+    },
+}
+
+/// Why a request was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotTaken {
+    /// Another with its id is open.
+    Duplicate,
+    /// The table is full.
+    Full,
+}
+
+/// Requests that owe an answer, at most `most` of them.
+#[derive(Debug)]
+pub struct Requests {
+    open: HashMap<RequestId, (Ask, u32)>,
+    due: BinaryHeap<Due<RequestId>>,
+    most: usize,
+}
+
+impl Requests {
+    /// An empty table.
+    pub fn new(most: usize) -> Self {
+        Self { open: HashMap::new(), due: BinaryHeap::new(), most }
+    }
+
+    /// Takes a request in: from now on it owes an answer.
+    pub fn take(&mut self, ask: Ask) -> Result<(), NotTaken> {
+        if self.open.contains_key(&ask.id) {
+            return Err(NotTaken::Duplicate);
+        }
+        if self.open.len() >= self.most {
+            return Err(NotTaken::Full);
+        }
+        self.due.push(Due(ask.give_up_ms, ask.id));
+        self.open.insert(ask.id, (ask, 0));
+        Ok(())
+    }
+
+    /// A request that still owes its answer.
+    pub fn get(&self, id: RequestId) -> Option<&Ask> {
+        self.open.get(&id).map(|(ask, _)| ask)
+    }
+
+    /// The number of a request's next attempt, as the module counts them too.
+    pub fn number(&mut self, id: RequestId) -> Option<u32> {
+        let (_, next) = self.open.get_mut(&id)?;
+        *next += 1;
+        Some(*next - 1)
+    }
+
+    /// When the next request's time is over.
+    pub fn next_due(&mut self) -> Option<f64> {
+        while let Some(Due(at, id)) = self.due.peek() {
+            if self.open.contains_key(id) {
+                return Some(*at);
+            }
+            self.due.pop();
+        }
+        None
+    }
+
+    /// A request whose time was over by `now`. It stays until it is ended.
+    pub fn overdue(&mut self, now: f64) -> Option<RequestId> {
+        if self.next_due()? > now {
+            return None;
+        }
+        self.due.peek().map(|Due(_, id)| *id)
+    }
+
+    /// Ends a request. Only the first caller gets it, and with it the right to answer.
+    pub fn end(&mut self, id: RequestId) -> Option<Ask> {
+        self.open.remove(&id).map(|(ask, _)| ask)
+    }
+
+    /// How many owe an answer.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Whether none does.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_request_is_ended_once_and_the_table_is_bounded() {
+        let ask = |id| Ask { id, ..Ask::default() };
+        let mut table = Requests::new(2);
+        assert_eq!(table.take(ask(1)), Ok(()));
+        assert_eq!(table.take(ask(1)), Err(NotTaken::Duplicate));
+        assert_eq!(table.take(ask(2)), Ok(()));
+        assert_eq!(table.take(ask(3)), Err(NotTaken::Full));
+        assert!(table.end(1).is_some() && table.end(1).is_none());
+        assert_eq!(table.len(), 1);
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,6 +2,8 @@
 //!
 //! Unknown keys are skipped; what may be absent reads as its type's default.
 
+use crate::wire::frames::{News, Numbered};
+use crate::wire::lines::is_value;
 use crate::{Class, ColdStart, KeyScope, Life, Listing, Repeat, Role, Settings};
 use serde::{Deserialize, Deserializer};
 
@@ -192,6 +194,46 @@
         self.policy_limits.streams_per_conn.clamp(1, 256) as usize
     }
 
+    /// Whether a class writes: its requests run at the origin.
+    pub fn is_write(&self, class: usize) -> bool {
+        self.family_info.uncached.get(class).copied().unwrap_or(false)
+    }
+
+    /// How long the clients of a class wait over all, in milliseconds.
+    pub fn deadline_ms(&self, class: usize) -> f64 {
+        self.classes.get(class).map_or(0.0, |c| c.deadline_us as f64 / 1_000.0)
+    }
+
+    /// The longest of these.
+    pub fn longest_deadline_ms(&self) -> f64 {
+        (0..self.classes.len()).map(|k| self.deadline_ms(k)).fold(0.0, f64::max)
+    }
+
+    /// What a proxy could not work with, if anything.
+    pub fn check(&self) -> Result<(), String> {
+        if self.classes.is_empty() {
+            return Err("`classes` is empty".into());
+        }
+        for class in &self.classes {
+            if !is_value(&class.name) || class.name.contains('/') {
+                return Err(format!("`classes[].name` {:?} can't stand in a path", class.name));
+            }
+            if class.deadline_us == 0 {
+                return Err(format!("`classes[].deadlineUs` of {:?} is 0", class.name));
+            }
+        }
+        if !self.localities.contains(&self.locality) {
+            return Err(format!("`locality` {:?} is none of `localities`", self.locality));
+        }
+        Ok(())
+    }
+
+    /// What a proxy could not take of an event, if anything.
+    pub fn check_event(&self, event: &Numbered) -> Result<(), String> {
+        let News::Roster { targets, .. } = &event.news else { return Ok(()) };
+        targets.iter().try_for_each(|target| self.listing(&target.row).map(|_| ()))
+    }
+
     /// For how long a drained member may still be named, in milliseconds.
     pub fn drain_grace_ms(&self) -> f64 {
         self.rules.drain_grace_us as f64 / 1_000.0
--- /dev/null
+++ b/src/wire/frames.rs
@@ -0,0 +1,335 @@
+//! The bulletin's frames, and the same events as JSON in the configuration.
+
+use super::lines::{hex16, member_id};
+use super::WireError;
+use crate::settings::{Env, Row};
+use bytes::{Buf, BufMut, BytesMut};
+use serde::Deserialize;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use tokio_util::codec::{Decoder, Encoder};
+
+/// The longest frame: some thousands of records.
+pub const FRAME_MOST: usize = 262_144;
+const RECORD: usize = 27;
+
+/// A member with the address at which it listens.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Its line of the list.
+    pub row: Row,
+    /// Where it listens.
+    pub address: SocketAddrV4,
+}
+
+/// What an event says.
+#[derive(Clone, Debug)]
+pub enum News {
+    /// Nothing new; the link works.
+    Quiet,
+    /// The list: all of it, or what changed.
+    Roster {
+        /// Members that are absent have gone.
+        full: bool,
+        /// The members.
+        targets: Vec<Target>,
+    },
+    /// A purge of an object, or of a group.
+    Purge {
+        /// The object, or none for the group.
+        object: Option<u64>,
+        /// The group.
+        group: u32,
+        /// The Unix millisecond of the purge.
+        issued: f64,
+    },
+}
+
+/// A numbered event.
+#[derive(Clone, Debug)]
+pub struct Numbered {
+    /// Its number.
+    pub no: u64,
+    /// What it says.
+    pub news: News,
+}
+
+/// A frame as read: places in the settings' lists are not yet names.
+#[derive(Clone, Debug)]
+pub struct Frame {
+    /// The event's number.
+    pub no: u64,
+    /// What kind of event.
+    pub kind: u8,
+    payload: BytesMut,
+}
+
+impl Frame {
+    /// The event that a frame means under these settings.
+    pub fn event(mut self, env: &Env) -> Result<Numbered, WireError> {
+        let news = match (self.kind, self.payload.len()) {
+            (0, 0) => News::Quiet,
+            (1 | 2, n) if n % RECORD == 0 => {
+                let count = n / RECORD;
+                let targets = (0..count).map(|_| target(&mut self.payload, env)).collect::<Result<_, _>>()?;
+                News::Roster { full: self.kind == 1, targets }
+            }
+            (3, 16) => {
+                let object = Some(self.payload.get_u64());
+                News::Purge { object, group: 0, issued: self.payload.get_u64() as f64 }
+            }
+            (4, 10) => {
+                let group = u32::from(self.payload.get_u16());
+                News::Purge { object: None, group, issued: self.payload.get_u64() as f64 }
+            }
+            (0..=4, _) => return Err(WireError::Malformed("a frame's length")),
+            // A kind of a later day: its number counts, its text is skipped.
+            _ => News::Quiet,
+        };
+        Ok(Numbered { no: self.no, news })
+    }
+}
+
+fn target(buf: &mut BytesMut, env: &Env) -> Result<Target, WireError> {
+    let cache = buf.get_u32();
+    let address = SocketAddrV4::new(Ipv4Addr::from(buf.get_u32()), buf.get_u16());
+    let lifecycle = match buf.get_u8() {
+        0 => "live",
+        1 => "quiescing",
+        2 => "dead",
+        _ => return Err(WireError::Malformed("a member's state")),
+    };
+    let (zone, kind) = (usize::from(buf.get_u8()), usize::from(buf.get_u8()));
+    let zone = env.zone_name(zone).ok_or(WireError::Malformed("a member's zone"))?.to_string();
+    let model = env.kind_name(kind).ok_or(WireError::Malformed("a member's kind"))?.to_string();
+    let cohort = u32::from(buf.get_u16());
+    let power_hint = Some(f64::from(buf.get_u32()) / 1_000.0);
+    let ready_at_us = buf.get_u64().saturating_mul(1_000);
+    let row = Row { zone, model, lifecycle: lifecycle.into(), ready_at_us, cache, power_hint, cohort };
+    Ok(Target { row, address })
+}
+
+/// Both directions of the connection to the bulletin: frames come in, numbers go out.
+#[derive(Debug, Default)]
+pub struct FrameCodec;
+
+impl Decoder for FrameCodec {
+    type Item = Frame;
+    type Error = WireError;
+
+    fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<Frame>, WireError> {
+        let Some(head) = buf.first_chunk::<4>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*head) as usize;
+        if length < 9 {
+            return Err(WireError::Malformed("a frame's length"));
+        }
+        if length > FRAME_MOST {
+            return Err(WireError::TooLarge("a frame"));
+        }
+        if buf.len() < 4 + length {
+            buf.reserve(4 + length - buf.len());
+            return Ok(None);
+        }
+        buf.advance(4);
+        let mut payload = buf.split_to(length);
+        let no = payload.get_u64();
+        let kind = payload.get_u8();
+        Ok(Some(Frame { no, kind, payload }))
+    }
+}
+
+impl Encoder<u64> for FrameCodec {
+    type Error = WireError;
+
+    fn encode(&mut self, last: u64, out: &mut BytesMut) -> Result<(), WireError> {
+        out.put_u64(last);
+        Ok(())
+    }
+}
+
+/// `known` of the configuration: the events of the start.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Known {
+    /// Number of the last of them.
+    #[serde(default)]
+    pub no: u64,
+    /// The events.
+    #[serde(default)]
+    items: Vec<Item>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Item {
+    no: u64,
+    roster: Option<Listed>,
+    recall: Option<Recall>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Listed {
+    #[serde(default)]
+    all: bool,
+    #[serde(default)]
+    targets: Vec<Line>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Recall {
+    item: Option<String>,
+    lot: Option<u32>,
+    issued: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Line {
+    uid: String,
+    endpoint: String,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    pod_group: u32,
+    state: String,
+    capacity_hint: Option<f64>,
+    #[serde(default)]
+    boot_ms: f64,
+}
+
+impl Known {
+    /// The events, in order; else what is wrong with which of them.
+    pub fn events(&self) -> Result<Vec<Numbered>, String> {
+        self.items.iter().map(|item| item.event().map_err(|e| format!("event {}: {e}", item.no))).collect()
+    }
+}
+
+impl Item {
+    fn event(&self) -> Result<Numbered, String> {
+        let news = match (&self.roster, &self.recall) {
+            (Some(list), _) => {
+                let targets = list.targets.iter().map(Line::target).collect::<Result<_, _>>()?;
+                News::Roster { full: list.all, targets }
+            }
+            (None, Some(recall)) => match (&recall.item, recall.lot) {
+                (Some(item), _) => {
+                    let object = hex16(item).ok_or_else(|| format!("object {item:?}"))?;
+                    News::Purge { object: Some(object), group: 0, issued: recall.issued }
+                }
+                (None, Some(lot)) => News::Purge { object: None, group: lot, issued: recall.issued },
+                (None, None) => return Err("a purge of nothing".into()),
+            },
+            (None, None) => News::Quiet,
+        };
+        Ok(Numbered { no: self.no, news })
+    }
+}
+
+impl Line {
+    fn target(&self) -> Result<Target, String> {
+        let cache = member_id(&self.uid).ok_or_else(|| format!("uid {:?}", self.uid))?;
+        let address = self.endpoint.parse().map_err(|_| format!("endpoint {:?}", self.endpoint))?;
+        let lifecycle = match self.state.as_str() {
+            "Ready" => "live",
+            "Terminating" => "quiescing",
+            "Gone" => "dead",
+            other => return Err(format!("state {other:?}")),
+        };
+        let row = Row {
+            zone: self.az.clone(),
+            model: self.model.clone(),
+            lifecycle: lifecycle.into(),
+            ready_at_us: crate::clock::micros(self.boot_ms),
+            cache,
+            power_hint: self.capacity_hint,
+            cohort: self.pod_group,
+        };
+        Ok(Target { row, address })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn env() -> Env {
+        let mut text = br#"{"classes":[],"localities":["hub","east"],"skus":["std","parent"]}"#.to_vec();
+        simd_json::from_slice(&mut text).unwrap()
+    }
+
+    fn frame(no: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
+        let mut out = (payload.len() as u32 + 9).to_be_bytes().to_vec();
+        out.extend(no.to_be_bytes());
+        out.push(kind);
+        out.extend(payload);
+        out
+    }
+
+    fn record() -> Vec<u8> {
+        let mut out = 0x00c4_1f7au32.to_be_bytes().to_vec();
+        out.extend([10, 1, 0, 9]);
+        out.extend(5_050u16.to_be_bytes());
+        out.extend([1, 1, 0]);
+        out.extend(2u16.to_be_bytes());
+        out.extend(4_500u32.to_be_bytes());
+        out.extend(1_764_576_000_123u64.to_be_bytes());
+        out
+    }
+
+    #[test]
+    fn frames_are_read_whole_wherever_they_are_split() {
+        let mut bytes = frame(7, 2, &record());
+        bytes.extend(frame(7, 0, &[]));
+        let purge: Vec<u8> = 17u16.to_be_bytes().into_iter().chain(99u64.to_be_bytes()).collect();
+        bytes.extend(frame(8, 4, &purge));
+        for cut in 0..bytes.len() {
+            let (mut codec, mut buf, mut got) = (FrameCodec, BytesMut::new(), Vec::new());
+            for part in [&bytes[..cut], &bytes[cut..]] {
+                buf.extend_from_slice(part);
+                while let Some(frame) = codec.decode(&mut buf).unwrap() {
+                    got.push(frame.event(&env()).unwrap());
+                }
+            }
+            assert_eq!(got.iter().map(|n| n.no).collect::<Vec<_>>(), [7, 7, 8]);
+            let News::Roster { full: false, targets } = &got[0].news else { panic!("{got:?}") };
+            assert_eq!(targets[0].address.to_string(), "10.1.0.9:5050");
+            let row = &targets[0].row;
+            assert_eq!(
+                (row.cache, row.zone.as_str(), row.lifecycle.as_str()),
+                (0xc41f7a, "east", "quiescing")
+            );
+            assert_eq!((row.ready_at_us, row.power_hint), (1_764_576_000_123_000, Some(4.5)));
+            assert!(matches!(got[1].news, News::Quiet));
+            assert!(matches!(got[2].news, News::Purge { object: None, group: 17, issued: 99.0 }));
+        }
+    }
+
+    /// Guards against a bulletin whose bytes can't be read: an error, after which the link is made anew.
+    #[test]
+    fn frames_that_are_malformed_or_too_large_are_errors() {
+        let mut state = record();
+        state[10] = 9;
+        let mut zone = record();
+        zone[11] = 9;
+        for (kind, payload) in [(1, &state[..]), (2, &zone[..]), (1, &state[..26]), (3, &[1, 2]), (0, &[1])] {
+            let mut buf = BytesMut::from(&frame(1, kind, payload)[..]);
+            assert!(FrameCodec.decode(&mut buf).unwrap().unwrap().event(&env()).is_err(), "{kind}");
+        }
+        for length in [8u32, FRAME_MOST as u32 + 1, u32::MAX] {
+            assert!(FrameCodec.decode(&mut BytesMut::from(&length.to_be_bytes()[..])).is_err());
+        }
+    }
+
+    #[test]
+    fn known_events_are_read_from_json_and_faults_are_named() {
+        let text = r#"{"no":42,"items":[{"no":41,"roster":{"rev":7,"all":true,"targets":[{"uid":"s-00c41f7a",
+            "endpoint":"10.1.0.9:5050","az":"east","model":"std","pod_group":2,"state":"Ready",
+            "capacity_hint":4,"boot_ms":0}]}},{"no":42,"recall":{"item":"7f3a9c21e0b4d655","issued":5}}]}"#;
+        let read =
+            |text: &str| simd_json::from_slice::<Known>(&mut text.as_bytes().to_vec()).unwrap().events();
+        let events = read(text).unwrap();
+        assert!(matches!(&events[0].news, News::Roster { full: true, targets } if targets.len() == 1));
+        let object = 0x7f3a_9c21_e0b4_d655;
+        assert!(matches!(events[1].news, News::Purge { object: Some(o), issued: 5.0, .. } if o == object));
+        let fault = read(&text.replace("10.1.0.9:5050", "nowhere")).unwrap_err();
+        assert!(fault.contains("event 41") && fault.contains("endpoint"), "{fault}");
+    }
+}
--- /dev/null
+++ b/src/wire/http.rs
@@ -0,0 +1,371 @@
+//! HTTP/1.1 as a server speaks it: one request at a time, with a bound on everything.
+
+use super::WireError;
+use crate::clock::Clock;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use std::fmt::Write as _;
+use tokio_util::codec::{Decoder, Encoder};
+
+/// The longest head of a request.
+pub const HEAD_MOST: usize = 16_384;
+/// The most headers of a request.
+pub const HEADERS_MOST: usize = 64;
+
+/// A request, whole.
+#[derive(Clone, Debug, Default)]
+pub struct HttpRequest {
+    /// Method, as it came.
+    pub method: String,
+    /// Target, as it came.
+    pub target: String,
+    /// Headers in their order, names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Bytes,
+    /// The client wants the connection kept.
+    pub keep_alive: bool,
+}
+
+impl HttpRequest {
+    /// A header that may come once; `Err` where it came more often.
+    pub fn single(&self, name: &str) -> Result<Option<&str>, &'static str> {
+        let mut values = self.headers.iter().filter(|(n, _)| n == name).map(|(_, v)| v.as_str());
+        let first = values.next();
+        if values.next().is_some() {
+            return Err("a header came twice");
+        }
+        Ok(first)
+    }
+}
+
+/// An answer, whole.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HttpAnswer {
+    /// Status code.
+    pub status: u16,
+    /// Headers besides those of the connection and the length.
+    pub headers: Vec<(&'static str, String)>,
+    /// Body.
+    pub body: Bytes,
+    /// Only the head is sent, with the length that the body would have.
+    pub head_only: bool,
+    /// The connection ends with it.
+    pub close: bool,
+}
+
+impl HttpAnswer {
+    /// An answer of a status alone.
+    pub fn status(status: u16) -> Self {
+        Self { status, ..Self::default() }
+    }
+
+    /// An answer to what can't be read, after which nothing more can be.
+    pub fn closing(status: u16) -> Self {
+        Self { status, close: true, ..Self::default() }
+    }
+
+    /// Adds a header.
+    pub fn with(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+}
+
+/// The reason phrase of a status.
+fn reason(status: u16) -> &'static str {
+    match status {
+        100 => "Continue",
+        200 => "OK",
+        206 => "Partial Content",
+        304 => "Not Modified",
+        400 => "Bad Request",
+        403 => "Forbidden",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        416 => "Range Not Satisfiable",
+        431 => "Request Header Fields Too Large",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Unknown",
+    }
+}
+
+/// What a client sent in place of a request: how to answer it before the connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadRequest(pub u16);
+
+/// What a connection's reader is waiting for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// The first byte of a request.
+    Idle,
+    /// The rest of a head.
+    Head,
+    /// The rest of a body.
+    Body,
+}
+
+/// The server's side of a connection, fed bytes. After a fault it reads nothing more.
+#[derive(Debug)]
+pub struct HttpCodec {
+    clock: Clock,
+    body_most: usize,
+    phase: Phase,
+    since: f64,
+    pending: Option<(HttpRequest, usize)>,
+    faulty: bool,
+}
+
+impl HttpCodec {
+    /// A connection whose requests may bring bodies of this length at most.
+    pub fn new(clock: Clock, body_most: usize) -> Self {
+        let since = clock.now();
+        Self { clock, body_most, phase: Phase::Idle, since, pending: None, faulty: false }
+    }
+
+    /// What it waits for, and since when.
+    pub fn phase(&self) -> (Phase, f64) {
+        (self.phase, self.since)
+    }
+
+    /// Starts the wait for the next request anew, once the last one is answered.
+    pub fn answered(&mut self) {
+        self.since = self.clock.now();
+    }
+
+    fn enter(&mut self, phase: Phase) {
+        if self.phase != phase {
+            (self.phase, self.since) = (phase, self.clock.now());
+        }
+    }
+
+    fn head(&mut self, buf: &mut BytesMut) -> Result<Option<(HttpRequest, usize)>, BadRequest> {
+        // Empty lines before a request are skipped, as RFC 9112 asks.
+        while buf.starts_with(b"\r\n") {
+            buf.advance(2);
+        }
+        if buf.is_empty() {
+            self.enter(Phase::Idle);
+            return Ok(None);
+        }
+        self.enter(Phase::Head);
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+        let mut parsed = httparse::Request::new(&mut headers);
+        let length = match parsed.parse(buf) {
+            Ok(httparse::Status::Complete(length)) if length <= HEAD_MOST => length,
+            Ok(httparse::Status::Partial) if buf.len() <= HEAD_MOST => return Ok(None),
+            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(BadRequest(431)),
+            Err(_) => return Err(BadRequest(400)),
+        };
+        let mut request = HttpRequest {
+            method: parsed.method.unwrap_or_default().to_string(),
+            target: parsed.path.unwrap_or_default().to_string(),
+            ..HttpRequest::default()
+        };
+        for header in parsed.headers.iter() {
+            let value = std::str::from_utf8(header.value).map_err(|_| BadRequest(400))?.trim();
+            request.headers.push((header.name.to_ascii_lowercase(), value.to_string()));
+        }
+        let modern = parsed.version == Some(1);
+        buf.advance(length);
+        let once = |name| request.single(name).map_err(|_| BadRequest(400));
+        let connection = request
+            .headers
+            .iter()
+            .filter(|(n, _)| n == "connection")
+            .flat_map(|(_, v)| v.split(','))
+            .map(str::trim);
+        let (mut close, mut keep) = (false, false);
+        for option in connection {
+            close |= option.eq_ignore_ascii_case("close");
+            keep |= option.eq_ignore_ascii_case("keep-alive");
+        }
+        let keep_alive = !close && (modern || keep);
+        if once("host")?.is_none() && modern {
+            return Err(BadRequest(400));
+        }
+        // Guards against requests smuggled past by two ideas of a body's end: one length, or none.
+        if once("transfer-encoding")?.is_some() {
+            return Err(BadRequest(if once("content-length")?.is_some() { 400 } else { 501 }));
+        }
+        let body = match once("content-length")? {
+            None => 0,
+            Some(text) if !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit()) => {
+                text.parse::<usize>().map_err(|_| BadRequest(413))?
+            }
+            Some(_) => return Err(BadRequest(400)),
+        };
+        if body > self.body_most {
+            return Err(BadRequest(413));
+        }
+        request.keep_alive = keep_alive;
+        Ok(Some((request, body)))
+    }
+
+    fn next(&mut self, buf: &mut BytesMut) -> Result<Option<HttpRequest>, BadRequest> {
+        if self.pending.is_none() {
+            self.pending = self.head(buf)?;
+        }
+        let Some((mut request, length)) = self.pending.take() else { return Ok(None) };
+        if buf.len() < length {
+            self.enter(Phase::Body);
+            buf.reserve(length - buf.len());
+            self.pending = Some((request, length));
+            return Ok(None);
+        }
+        request.body = buf.split_to(length).freeze();
+        self.enter(Phase::Idle);
+        Ok(Some(request))
+    }
+}
+
+impl Decoder for HttpCodec {
+    type Item = Result<HttpRequest, BadRequest>;
+    type Error = WireError;
+
+    fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<Self::Item>, WireError> {
+        if self.faulty {
+            buf.clear();
+            return Ok(None);
+        }
+        match self.next(buf) {
+            Ok(request) => Ok(request.map(Ok)),
+            Err(bad) => {
+                self.faulty = true;
+                Ok(Some(Err(bad)))
+            }
+        }
+    }
+
+    fn decode_eof(&mut self, buf: &mut BytesMut) -> Result<Option<Self::Item>, WireError> {
+        self.decode(buf)
+    }
+}
+
+impl Encoder<HttpAnswer> for HttpCodec {
+    type Error = WireError;
+
+    fn encode(&mut self, answer: HttpAnswer, out: &mut BytesMut) -> Result<(), WireError> {
+        let mut head = format!("HTTP/1.1 {} {}\r\n", answer.status, reason(answer.status));
+        for (name, value) in &answer.headers {
+            let _ = write!(head, "{name}: {value}\r\n");
+        }
+        if answer.status != 304 {
+            let _ = write!(head, "Content-Length: {}\r\n", answer.body.len());
+        }
+        head.push_str(if answer.close { "Connection: close\r\n\r\n" } else { "\r\n" });
+        let body = if answer.head_only || answer.status == 304 { &[] } else { &answer.body[..] };
+        out.reserve(head.len() + body.len());
+        out.put_slice(head.as_bytes());
+        out.put_slice(body);
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn codec() -> HttpCodec {
+        HttpCodec::new(Clock::manual(0.0), 100)
+    }
+
+    fn first(bytes: &[u8]) -> Option<Result<HttpRequest, BadRequest>> {
+        codec().decode(&mut BytesMut::from(bytes)).unwrap()
+    }
+
+    #[test]
+    fn requests_are_read_whole_wherever_they_are_split() {
+        let text = b"PUT /ops/post/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello\
+                     GET /alive HTTP/1.1\r\nHOST: a\r\nConnection: Close\r\n\r\n";
+        for cut in 0..text.len() {
+            let (mut codec, mut buf, mut got) = (codec(), BytesMut::new(), Vec::new());
+            for part in [&text[..cut], &text[cut..]] {
+                buf.extend_from_slice(part);
+                while let Some(request) = codec.decode(&mut buf).unwrap() {
+                    got.push(request.unwrap());
+                }
+            }
+            assert_eq!(got.len(), 2, "cut at {cut}");
+            assert_eq!((&got[0].body[..], got[0].keep_alive), (&b"hello"[..], true));
+            assert_eq!((got[1].target.as_str(), got[1].keep_alive), ("/alive", false));
+        }
+    }
+
+    /// Guards against what no honest client sends: each fault has its status, and nothing after it is read.
+    #[test]
+    fn faults_have_their_status_and_end_the_reading() {
+        let long = format!("GET /{} HTTP/1.1\r\nHost: a\r\n\r\n", "x".repeat(HEAD_MOST));
+        let many = format!("GET / HTTP/1.1\r\nHost: a\r\n{}\r\n", "X: y\r\n".repeat(HEADERS_MOST + 1));
+        let cases: [(&str, u16); 12] = [
+            ("\x01\x02\x03\r\n\r\n", 400),
+            ("GET / HTTP/1.1\r\n\r\n", 400),
+            ("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
+            ("GET / HTTP/1.1\r\nHost: a\r\nbad header\r\n\r\n", 400),
+            ("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", 400),
+            ("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx", 400),
+            ("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+            ("PUT / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n", 501),
+            ("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n", 413),
+            ("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999999999999999\r\n\r\n", 413),
+            (&long, 431),
+            (&many, 431),
+        ];
+        for (text, status) in cases {
+            assert_eq!(first(text.as_bytes()).unwrap().unwrap_err(), BadRequest(status), "{text:.60}");
+        }
+        let mut codec = codec();
+        let mut buf = BytesMut::from(&b"nonsense\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n"[..]);
+        assert!(codec.decode(&mut buf).unwrap().unwrap().is_err());
+        assert!(codec.decode(&mut buf).unwrap().is_none());
+    }
+
+    #[test]
+    fn an_endless_head_is_not_held() {
+        assert_eq!(first(&vec![b'a'; HEAD_MOST + 1]).unwrap().unwrap_err(), BadRequest(431));
+        assert!(first(&vec![b'a'; HEAD_MOST - 1]).is_none());
+    }
+
+    #[test]
+    fn the_wait_is_timed_from_the_first_byte_of_each_phase() {
+        let clock = Clock::manual(1_000.0);
+        let mut codec = HttpCodec::new(clock.clone(), 100);
+        let mut buf = BytesMut::new();
+        clock.advance(500.0);
+        assert!(codec.decode(&mut buf).unwrap().is_none());
+        assert_eq!(codec.phase(), (Phase::Idle, 1_000.0));
+        buf.extend_from_slice(b"PUT / HT");
+        assert!(codec.decode(&mut buf).unwrap().is_none());
+        clock.advance(100.0);
+        buf.extend_from_slice(b"TP/1.1\r\n");
+        assert!(codec.decode(&mut buf).unwrap().is_none());
+        assert_eq!(codec.phase(), (Phase::Head, 1_500.0));
+        buf.extend_from_slice(b"Host: a\r\nContent-Length: 2\r\n\r\nx");
+        assert!(codec.decode(&mut buf).unwrap().is_none());
+        assert_eq!(codec.phase(), (Phase::Body, 1_600.0));
+    }
+
+    #[test]
+    fn answers_say_their_length_also_without_a_body() {
+        let write = |answer| {
+            let mut out = BytesMut::new();
+            codec().encode(answer, &mut out).unwrap();
+            String::from_utf8(out.to_vec()).unwrap()
+        };
+        let full = HttpAnswer { body: Bytes::from_static(b"abc"), ..HttpAnswer::status(200) };
+        assert_eq!(write(full.clone()), "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+        let head = HttpAnswer { head_only: true, ..full };
+        assert_eq!(write(head), "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n");
+        assert_eq!(
+            write(HttpAnswer::status(304).with("ETag", "\"x\"")),
+            "HTTP/1.1 304 Not Modified\r\nETag: \"x\"\r\n\r\n"
+        );
+        assert!(write(HttpAnswer::closing(400)).contains("Connection: close\r\n"));
+    }
+}
--- /dev/null
+++ b/src/wire/lines.rs
@@ -0,0 +1,351 @@
+//! The pop caches' protocol: lines of words that end in CR LF, with bodies of a stated length.
+
+use super::WireError;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use std::fmt::Write as _;
+use tokio_util::codec::{Decoder, Encoder};
+
+/// The longest line that a pop cache may send.
+pub const LINE_MOST: usize = 4_096;
+/// The largest body that a pop cache may send: the largest object.
+pub const BODY_MOST: usize = 240_000;
+
+/// How a pop cache ended a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// The bytes.
+    Ack,
+    /// The client's copy is the one.
+    Nomod,
+    /// A miss: it never ran.
+    Noent,
+    /// Full: it never ran.
+    Again,
+    /// An error: it may have run.
+    Eio,
+    /// Over before it came: it never ran.
+    Stale,
+}
+
+/// An answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    /// Id of the request.
+    pub id: u64,
+    /// How it ended.
+    pub word: Word,
+    /// Tag of the copy, where there is one.
+    pub tag: Option<String>,
+    /// The Unix millisecond at which the origin gave out this copy.
+    pub born: Option<f64>,
+    /// The bytes.
+    pub body: Bytes,
+}
+
+/// A request to a pop cache.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Get {
+    /// Id, as the client wrote it.
+    pub id: String,
+    /// Class.
+    pub class: String,
+    /// Object, as the client wrote it.
+    pub object: String,
+    /// Part.
+    pub part: u32,
+    /// How long an answer is waited for, in milliseconds.
+    pub wait_ms: u64,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Where a miss is filled from.
+    pub source: Option<u32>,
+    /// Rank at which the object is kept.
+    pub keep: u8,
+    /// The oldest copy that will do, in milliseconds; 0 is the class's own bound.
+    pub max_age_ms: u64,
+    /// Join a fill under way.
+    pub join: bool,
+    /// Renew an ageing copy behind.
+    pub renew: bool,
+    /// Bare tag of the client's copy.
+    pub cached: Option<String>,
+    /// Body of a write.
+    pub body: Bytes,
+}
+
+/// What is written to a pop cache.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// A request.
+    Get(Box<Get>),
+    /// Gives a request up.
+    Drop(String),
+}
+
+/// The text of a member's id.
+pub fn member_text(id: u32) -> String {
+    format!("s-{id:08x}")
+}
+
+/// A member's id from its text.
+pub fn member_id(text: &str) -> Option<u32> {
+    let digits = text.strip_prefix("s-")?;
+    (digits.len() == 8 && digits.bytes().all(|b| b.is_ascii_hexdigit()))
+        .then(|| u32::from_str_radix(digits, 16).ok())?
+}
+
+/// A number of exactly 16 hex digits.
+pub fn hex16(text: &str) -> Option<u64> {
+    (text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit()))
+        .then(|| u64::from_str_radix(text, 16).ok())?
+}
+
+/// Whether a text can stand as a field's value.
+pub fn is_value(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|b| b.is_ascii_graphic() && b != b',' && b != b'=')
+}
+
+/// Both directions of a connection to a pop cache.
+#[derive(Debug, Default)]
+pub struct LineCodec {
+    /// An answer whose body is not whole yet, with the body's length.
+    partial: Option<(Reply, usize)>,
+    /// How much of the buffer holds no line's end, so that no byte is searched twice.
+    searched: usize,
+}
+
+impl LineCodec {
+    fn line(&mut self, text: &str) -> Result<Option<(Reply, usize)>, WireError> {
+        let mut words = text.split(' ');
+        let (Some(id), Some(word)) = (words.next(), words.next()) else {
+            return Err(WireError::Malformed("an answer of one word"));
+        };
+        let word = match word {
+            "ACK" => Word::Ack,
+            "NOMOD" => Word::Nomod,
+            "NOENT" => Word::Noent,
+            "AGAIN" => Word::Again,
+            "EIO" => Word::Eio,
+            "STALE" => Word::Stale,
+            "READY" => return Ok(None),
+            _ => return Err(WireError::Malformed("an unknown answer")),
+        };
+        let id = hex16(id).ok_or(WireError::Malformed("an answer's id"))?;
+        let (fields, length) = (words.next().unwrap_or("-"), words.next().unwrap_or("0"));
+        if words.next().is_some() {
+            return Err(WireError::Malformed("too many words"));
+        }
+        let length: usize = length.parse().map_err(|_| WireError::Malformed("an answer's length"))?;
+        if length > BODY_MOST {
+            return Err(WireError::TooLarge("an answer's body"));
+        }
+        let (mut tag, mut born) = (None, None);
+        for field in fields.split(',').filter(|f| *f != "-") {
+            let (name, value) = field.split_once('=').ok_or(WireError::Malformed("a field"))?;
+            match name {
+                "sum" => tag = Some(value.to_string()),
+                "t0" => born = Some(value.parse().map_err(|_| WireError::Malformed("t0"))?),
+                _ => {}
+            }
+        }
+        if matches!(word, Word::Ack | Word::Nomod) && tag.is_none() {
+            return Err(WireError::Malformed("a copy without its tag"));
+        }
+        if word != Word::Ack && length > 0 {
+            return Err(WireError::Malformed("a body where none belongs"));
+        }
+        Ok(Some((Reply { id, word, tag, born, body: Bytes::new() }, length)))
+    }
+}
+
+impl Decoder for LineCodec {
+    type Item = Reply;
+    type Error = WireError;
+
+    fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<Reply>, WireError> {
+        loop {
+            if let Some((reply, length)) = self.partial.take() {
+                if buf.len() < length + 2 {
+                    buf.reserve(length + 2 - buf.len());
+                    self.partial = Some((reply, length));
+                    return Ok(None);
+                }
+                let body = buf.split_to(length).freeze();
+                if &buf[..2] != b"\r\n" {
+                    return Err(WireError::Malformed("a body's end"));
+                }
+                buf.advance(2);
+                return Ok(Some(Reply { body, ..reply }));
+            }
+            let from = self.searched.saturating_sub(1);
+            let Some(end) = buf[from..].windows(2).position(|w| w == b"\r\n").map(|k| from + k) else {
+                self.searched = buf.len();
+                if buf.len() > LINE_MOST {
+                    return Err(WireError::TooLarge("a line"));
+                }
+                return Ok(None);
+            };
+            self.searched = 0;
+            if end > LINE_MOST {
+                return Err(WireError::TooLarge("a line"));
+            }
+            let line = buf.split_to(end + 2);
+            if end == 0 {
+                continue;
+            }
+            let text =
+                std::str::from_utf8(&line[..end]).map_err(|_| WireError::Malformed("a line's bytes"))?;
+            match self.line(text)? {
+                // The end of an empty body is skipped as an empty line, so nothing is waited for.
+                Some((reply, 0)) => return Ok(Some(reply)),
+                other => self.partial = other,
+            }
+        }
+    }
+
+    fn decode_eof(&mut self, buf: &mut BytesMut) -> Result<Option<Reply>, WireError> {
+        // A cut answer is none: what is left at the end of a connection is dropped with it.
+        self.decode(buf)
+    }
+}
+
+impl Encoder<Command> for LineCodec {
+    type Error = WireError;
+
+    fn encode(&mut self, command: Command, out: &mut BytesMut) -> Result<(), WireError> {
+        let get = match command {
+            Command::Drop(id) => {
+                out.reserve(id.len() + 8);
+                out.put_slice(b"DROP ");
+                out.put_slice(id.as_bytes());
+                out.put_slice(b"\r\n");
+                return Ok(());
+            }
+            Command::Get(get) => get,
+        };
+        let mut head =
+            format!("GET {} c={},k={},p={},w={}", get.id, get.class, get.object, get.part, get.wait_ms);
+        let mut field = |name: &str, value: &str| {
+            let _ = write!(head, ",{name}={value}");
+        };
+        if let Some(key) = &get.key {
+            field("i", key);
+        }
+        if let Some(source) = get.source {
+            field("next", &member_text(source));
+        }
+        if get.keep > 0 {
+            field("admit", &get.keep.to_string());
+        }
+        if get.max_age_ms > 0 {
+            field("agelim", &get.max_age_ms.to_string());
+        }
+        match (get.join, get.renew) {
+            (true, true) => field("ways", "ride+update"),
+            (true, false) => field("ways", "ride"),
+            (false, true) => field("ways", "update"),
+            (false, false) => {}
+        }
+        if let Some(tag) = &get.cached {
+            field("cached", tag);
+        }
+        let _ = write!(head, " {}\r\n", get.body.len());
+        out.reserve(head.len() + get.body.len() + 2);
+        out.put_slice(head.as_bytes());
+        out.put_slice(&get.body);
+        out.put_slice(b"\r\n");
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn all(codec: &mut LineCodec, bytes: &[u8]) -> Result<Vec<Reply>, WireError> {
+        let mut buf = BytesMut::from(bytes);
+        let mut out = Vec::new();
+        while let Some(reply) = codec.decode(&mut buf)? {
+            out.push(reply);
+        }
+        Ok(out)
+    }
+
+    #[test]
+    fn answers_come_in_any_order_and_split_at_any_byte() {
+        let text =
+            b"000000000000000a ACK sum=4be0,t0=1764576000123,load=inflight:7;util:0.61 5\r\na\r\nbc\r\n\
+                     000000000000000b NOENT - 0\r\n\r\n000000000000000c NOMOD sum=9,t0=5 0\r\n\r\n";
+        let whole = all(&mut LineCodec::default(), text).unwrap();
+        assert_eq!(
+            whole.iter().map(|r| (r.id, r.word)).collect::<Vec<_>>(),
+            [(10, Word::Ack), (11, Word::Noent), (12, Word::Nomod)]
+        );
+        assert_eq!((&whole[0].body[..], whole[0].born), (&b"a\r\nbc"[..], Some(1_764_576_000_123.0)));
+        for cut in 0..text.len() {
+            let (mut codec, mut buf, mut got) = (LineCodec::default(), BytesMut::new(), Vec::new());
+            for part in [&text[..cut], &text[cut..]] {
+                buf.extend_from_slice(part);
+                while let Some(reply) = codec.decode(&mut buf).unwrap() {
+                    got.push(reply);
+                }
+            }
+            assert_eq!(got, whole, "cut at {cut}");
+        }
+    }
+
+    /// Guards against a pop cache whose bytes can't be read: the connection ends, nothing is guessed.
+    #[test]
+    fn what_is_malformed_or_too_large_is_an_error() {
+        let long = vec![b'x'; LINE_MOST + 10];
+        let bad: [&[u8]; 10] = [
+            b"nonsense\r\n",
+            b"000000000000000a WHAT - 0\r\n",
+            b"00a ACK sum=1,t0=1 0\r\n",
+            b"000000000000000a ACK sum=1,t0=x 0\r\n",
+            b"000000000000000a ACK - 0\r\n",
+            b"000000000000000a ACK sum=1,t0=1 240001\r\n",
+            b"000000000000000a ACK sum=1,t0=1 -1\r\n",
+            b"000000000000000a NOENT - 1\r\nx\r\n",
+            b"000000000000000a ACK sum=1,t0=1 1\r\nxyz",
+            &long,
+        ];
+        for bytes in bad {
+            assert!(all(&mut LineCodec::default(), bytes).is_err(), "{:?}", String::from_utf8_lossy(bytes));
+        }
+    }
+
+    #[test]
+    fn requests_are_written_with_the_fields_that_they_have() {
+        let mut out = BytesMut::new();
+        let get = Get {
+            id: "9b1f03aa5c7e2d41".into(),
+            class: "segment".into(),
+            object: "7f3a9c21e0b4d655".into(),
+            part: 3,
+            wait_ms: 900,
+            source: Some(0xc41f7a),
+            keep: 2,
+            max_age_ms: 1_500,
+            join: true,
+            renew: true,
+            cached: Some("4be0".into()),
+            ..Get::default()
+        };
+        LineCodec::default().encode(Command::Get(Box::new(get)), &mut out).unwrap();
+        LineCodec::default().encode(Command::Drop("9b1f03aa5c7e2d41".into()), &mut out).unwrap();
+        assert_eq!(
+            &out[..],
+            &b"GET 9b1f03aa5c7e2d41 c=segment,k=7f3a9c21e0b4d655,p=3,w=900,next=s-00c41f7a,admit=2,agelim=1500,\
+               ways=ride+update,cached=4be0 0\r\n\r\nDROP 9b1f03aa5c7e2d41\r\n"[..]
+        );
+    }
+
+    #[test]
+    fn ids_and_values_are_checked() {
+        assert_eq!(member_id("s-00c41f7a"), Some(0xc41f7a));
+        assert_eq!(member_id("s-0c41f7a"), None);
+        assert_eq!(hex16("+000000000000001"), None);
+        assert!(is_value("4be0") && !is_value("a,b") && !is_value("a b") && !is_value(""));
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,26 @@
+//! What is spoken: each protocol a state machine that is fed bytes and knows no socket, a codec round it,
+//! and a thin driver that reads and writes.
+
+pub mod bulletin;
+pub mod cache;
+pub mod client;
+pub mod frames;
+pub mod http;
+pub mod lines;
+pub mod platform;
+
+use thiserror::Error;
+
+/// Why a connection can't go on.
+#[derive(Debug, Error)]
+pub enum WireError {
+    /// The socket failed.
+    #[error("socket: {0}")]
+    Socket(#[from] std::io::Error),
+    /// The other side sent what its protocol doesn't allow.
+    #[error("malformed: {0}")]
+    Malformed(&'static str),
+    /// More came than may be held.
+    #[error("too large: {0}")]
+    TooLarge(&'static str),
+}
--- /dev/null
+++ b/src/wire/platform.rs
@@ -0,0 +1,123 @@
+//! The platform's front: what its clients' requests mean, and how its answers are worded.
+
+use super::client::{Context, Front, Intake, Limits};
+use super::http::{HttpAnswer, HttpRequest};
+use super::lines::{hex16, is_value};
+use crate::engine::host::Host;
+use crate::memory::requests::{Ask, Final};
+use crate::settings::Env;
+use std::rc::Rc;
+
+/// Taken off a client's patience, in milliseconds: the ways to and from the client, and the answer's bytes.
+pub const MARGIN_MS: f64 = 40.0;
+
+/// The platform's front.
+pub struct Platform {
+    env: Rc<Env>,
+    limits: Limits,
+}
+
+impl Platform {
+    /// A front under these settings.
+    pub fn new(env: Rc<Env>, limits: Limits) -> Self {
+        Self { env, limits }
+    }
+
+    fn ask(&self, request: &HttpRequest, now: f64) -> Result<Box<Ask>, HttpAnswer> {
+        let bad = || HttpAnswer::status(400);
+        let path = request.target.split('?').next().unwrap_or_default();
+        let mut steps = path.strip_prefix("/ops/").ok_or_else(|| HttpAnswer::status(404))?.split('/');
+        let class = steps.next().and_then(|name| self.env.class(name));
+        let class = class.ok_or_else(|| HttpAnswer::status(404))?;
+        let object_text = steps.next().ok_or_else(|| HttpAnswer::status(404))?;
+        let object = hex16(object_text).ok_or_else(bad)?;
+        let part = match steps.next() {
+            None => 0,
+            Some(text) => {
+                let digits = text.strip_prefix("slice-").ok_or_else(|| HttpAnswer::status(404))?;
+                digits.parse().map_err(|_| bad())?
+            }
+        };
+        if steps.next().is_some() {
+            return Err(HttpAnswer::status(404));
+        }
+        let writes = self.env.is_write(class);
+        let method = if writes { "PUT" } else { "GET" };
+        if request.method != method {
+            return Err(HttpAnswer::status(405).with("Allow", method));
+        }
+        let header = |name| request.single(name).map_err(|_| bad());
+        let id_text = header("x-call-id")?.ok_or_else(bad)?;
+        let id = hex16(id_text).ok_or_else(bad)?;
+        let number = |text: Option<&str>| match text {
+            None => Ok(None),
+            Some(text) => {
+                let value = text.parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0);
+                value.map(Some).ok_or_else(bad)
+            }
+        };
+        let patience = number(header("x-patience-ms")?)?;
+        let patience = patience.unwrap_or_else(|| self.env.deadline_ms(class)).min(3_600_000.0);
+        let group = number(header("x-set")?)?.unwrap_or(0.0) as u32;
+        let size_kb = number(header("x-heap-kb")?)?.unwrap_or(0.0);
+        let key = header("x-dedupe-key")?;
+        if key.is_some_and(|key| !is_value(key) || key.len() > 128) {
+            return Err(bad());
+        }
+        Ok(Box::new(Ask {
+            id,
+            id_text: id_text.to_string(),
+            class,
+            object,
+            object_text: object_text.to_string(),
+            part,
+            group,
+            size_kb,
+            give_up_ms: now + (patience - MARGIN_MS).max(0.0),
+            key: key.map(String::from),
+            cached: header("if-none-match")?.and_then(bare_tag),
+            body: request.body.clone(),
+        }))
+    }
+}
+
+/// The one tag of an `If-None-Match`, without its quotes; none where there are several or it is of no use.
+pub fn bare_tag(text: &str) -> Option<String> {
+    let tag = text.strip_prefix("W/").unwrap_or(text).strip_prefix('"')?.strip_suffix('"')?;
+    (is_value(tag) && !tag.contains('"') && tag.len() <= 128).then(|| tag.to_string())
+}
+
+impl Front for Platform {
+    fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    fn take(&self, _: &Rc<Host>, request: &HttpRequest, now: f64) -> Intake {
+        if request.target == "/alive" {
+            return Intake::Now(match request.method.as_str() {
+                "GET" => HttpAnswer::status(200),
+                _ => HttpAnswer::status(405).with("Allow", "GET"),
+            });
+        }
+        match self.ask(request, now) {
+            Ok(ask) => {
+                let context = Context { give_up_ms: ask.give_up_ms, ..Context::default() };
+                Intake::Ask(ask, context)
+            }
+            Err(answer) => Intake::Now(answer),
+        }
+    }
+
+    fn word(&self, _: &Context, answer: Final) -> HttpAnswer {
+        match answer {
+            Final::Served { tag, body } => {
+                HttpAnswer { body, ..HttpAnswer::status(200) }.with("ETag", format!("\"{tag}\""))
+            }
+            Final::Same { tag } => HttpAnswer::status(304).with("ETag", format!("\"{tag}\"")),
+            Final::Refused { wait_ms, .. } => {
+                HttpAnswer::status(503).with("X-Come-Back-Ms", format!("{}", wait_ms.ceil()))
+            }
+            Final::Failed { overdue } => HttpAnswer::status(if overdue { 504 } else { 502 }),
+        }
+    }
+}
