--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -237,14 +237,18 @@
         };
         *counter += 1;
         if verdict == Verdict::Served {
-            let tag = reply.tag.unwrap_or_default();
+            let tag = reply.tag;
             // A member says that the client's copy holds only where the request named that copy.
             let same = reply.word == Word::Nomod;
             if same && self.requests.get(id.0).is_some_and(|ask| ask.cached.is_none()) {
                 self.settle(id, Verdict::Error);
                 return self.run();
             }
-            let answer = if same { Final::Same { tag } } else { Final::Served { tag, body: reply.body } };
+            let answer = if same {
+                Final::Same { tag: tag.unwrap_or_default() }
+            } else {
+                Final::Served { tag, body: reply.body }
+            };
             self.finish(id.0, answer);
         }
         self.settle(id, verdict);
--- a/src/memory/requests.rs
+++ b/src/memory/requests.rs
@@ -39,8 +39,8 @@
 pub enum Final {
     /// The bytes of the part, from a member's answer to this request.
     Served {
-        /// Tag of the copy.
-        tag: String,
+        /// Tag of the copy, where it has one.
+        tag: Option<String>,
         /// The bytes.
         body: Bytes,
     },
--- a/src/wire/cache.rs
+++ b/src/wire/cache.rs
@@ -34,7 +34,8 @@
         end = read(host, conn, source) => end,
         end = write(host, conn, sink, waker) => end,
     };
-    if let Err(WireError::Malformed(_) | WireError::TooLarge(_)) = end {
+    if let Err(error @ (WireError::Malformed(_) | WireError::TooLarge(_))) = &end {
+        eprintln!("calicobeam: the member at {to}: {error}");
         host.with(|engine| engine.counters.malformed_members += 1);
     }
     host.with(|engine| engine.broken(conn));
--- a/src/wire/lines.rs
+++ b/src/wire/lines.rs
@@ -148,9 +148,6 @@
                 _ => {}
             }
         }
-        if matches!(word, Word::Ack | Word::Nomod) && tag.is_none() {
-            return Err(WireError::Malformed("a copy without its tag"));
-        }
         if word != Word::Ack && length > 0 {
             return Err(WireError::Malformed("a body where none belongs"));
         }
@@ -298,12 +295,11 @@
     #[test]
     fn what_is_malformed_or_too_large_is_an_error() {
         let long = vec![b'x'; LINE_MOST + 10];
-        let bad: [&[u8]; 10] = [
+        let bad: [&[u8]; 9] = [
             b"nonsense\r\n",
             b"000000000000000a WHAT - 0\r\n",
             b"00a ACK sum=1,t0=1 0\r\n",
             b"000000000000000a ACK sum=1,t0=x 0\r\n",
-            b"000000000000000a ACK - 0\r\n",
             b"000000000000000a ACK sum=1,t0=1 240001\r\n",
             b"000000000000000a ACK sum=1,t0=1 -1\r\n",
             b"000000000000000a NOENT - 1\r\nx\r\n",
@@ -315,6 +311,13 @@
         }
     }
 
+    /// Guards against taking the answer to a write for malformed: no copy is kept, so it may have no tag.
+    #[test]
+    fn an_answer_to_a_write_needs_no_tag() {
+        let got = all(&mut LineCodec::default(), b"000000000000000a ACK - 2\r\nok\r\n").unwrap();
+        assert_eq!((got[0].word, &got[0].body[..], &got[0].tag), (Word::Ack, &b"ok"[..], &None));
+    }
+
     #[test]
     fn requests_are_written_with_the_fields_that_they_have() {
         let mut out = BytesMut::new();
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -111,7 +111,11 @@
     fn word(&self, _: &Context, answer: Final) -> HttpAnswer {
         match answer {
             Final::Served { tag, body } => {
-                HttpAnswer { body, ..HttpAnswer::status(200) }.with("ETag", format!("\"{tag}\""))
+                let answer = HttpAnswer { body, ..HttpAnswer::status(200) };
+                match tag {
+                    Some(tag) => answer.with("ETag", format!("\"{tag}\"")),
+                    None => answer,
+                }
             }
             Final::Same { tag } => HttpAnswer::status(304).with("ETag", format!("\"{tag}\"")),
             Final::Refused { wait_ms, .. } => {
