--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -1,4 +1,5 @@
 //! Start and stop: configuration, the serving process, signals.
 
 pub mod config;
+pub mod front;
 pub mod serve;
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -1,6 +1,7 @@
 //! The serving process: start, signals, stop.
 
 use super::config::Config;
+use super::front::{keep_keys, FrontConfig};
 use crate::clock::{span, Clock};
 use crate::engine::host::Host;
 use crate::engine::{Engine, EngineBounds};
@@ -9,6 +10,7 @@
 use crate::wire::client::{accept, Front, Limits, Stop};
 use crate::wire::platform::Platform;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
@@ -34,18 +36,23 @@
     System(String, std::io::Error),
 }
 
-/// Starts the engine of a configuration, with what was known at the start.
-pub fn engine(config: &Config, clock: &Clock) -> Result<(Engine, Rc<crate::settings::Env>), ServeError> {
+/// Starts the engine of a configuration, with what was known at the start. A second front may bring `extra`
+/// connections of clients; the members' connections make room for them.
+pub fn engine(
+    config: &Config,
+    clock: &Clock,
+    extra: usize,
+) -> Result<(Engine, Rc<crate::settings::Env>), ServeError> {
     let env = Rc::new(config.settings.clone());
     let seed = config.seed().map_err(|why| ServeError::Field("seed", why))?;
     let sockets = config.limits.sockets;
     let connections = Bounds {
-        total: sockets * 2 / 5,
+        total: sockets * 2 / 5 - extra / 2,
         member: (sockets / 64).clamp(2, 16),
         spread: 4,
         streams: env.streams_per_connection(),
     };
-    let bounds = EngineBounds { requests: sockets * 2 / 5, connections };
+    let bounds = EngineBounds { requests: sockets * 2 / 5 + extra, connections };
     let mut engine = Engine::new(clock.clone(), env.clone(), seed, bounds);
     for event in config.known.events().map_err(|why| ServeError::Field("known", why))? {
         engine.news(event);
@@ -55,23 +62,39 @@
 }
 
 /// Serves until SIGTERM or SIGINT, and ends once all that was taken is answered.
-pub async fn serve(config: Config) -> Result<(), ServeError> {
+pub async fn serve(config: Config, front: Option<FrontConfig>) -> Result<(), ServeError> {
     let clock = Clock::system();
-    let (engine, env) = engine(&config, &clock)?;
+    let extra = front.as_ref().map_or(0, FrontConfig::connections);
+    let (engine, env) = engine(&config, &clock, extra)?;
     let listen = config.listen().map_err(|why| ServeError::Field("listen", why))?;
     let bulletin = config.bulletin().map_err(|why| ServeError::Field("bulletin", why))?;
+    let seed = config.seed().map_err(|why| ServeError::Field("seed", why))?;
     let host = Host::new(clock, engine);
     let await_signal = |kind| signal(kind).map_err(|e| ServeError::System("signals".into(), e));
     let mut terminate = await_signal(SignalKind::terminate())?;
     let mut interrupt = await_signal(SignalKind::interrupt())?;
+    let mut hangup = await_signal(SignalKind::hangup())?;
     let mut report = await_signal(SignalKind::user_defined1())?;
-    let listener =
-        TcpListener::bind(listen).await.map_err(|e| ServeError::System(format!("listen on {listen}"), e))?;
+    let listener = bind(listen).await?;
     let connections = config.limits.sockets * 2 / 5;
     let platform: Rc<dyn Front> =
         Rc::new(Platform::new(env.clone(), Limits { connections, ..Limits::default() }));
     let (stop, closing) = (Rc::new(Stop::default()), Rc::new(Notify::new()));
     host.spawn("accepting", accept(host.clone(), platform, listener, stop.clone(), closing.clone()));
+    let reload = Rc::new(Notify::new());
+    let second = Rc::new(Notify::new());
+    if let Some(config) = front {
+        let listen = config.listen().map_err(|why| ServeError::Field("listen", why))?;
+        let signed = config.front(env.clone(), host.clock.now().to_bits() ^ seed);
+        let signed = Rc::new(signed.map_err(|why| ServeError::Field("keys", why))?);
+        let listener = bind(listen).await?;
+        host.spawn("accepting", accept(host.clone(), signed.clone(), listener, stop.clone(), second.clone()));
+        always(&host, "keeping keys", {
+            let (host, reload) = (host.clone(), reload.clone());
+            move || keep_keys(host.clone(), config.clone(), signed.clone(), reload.clone())
+        });
+        eprintln!("calicobeam: signed links are served on {listen}");
+    }
     always(&host, "keeping time", {
         let host = host.clone();
         move || host.clone().keep_time()
@@ -86,11 +109,13 @@
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             _ = report.recv() => print_counters(&host),
+            _ = hangup.recv() => reload.notify_one(),
         }
     }
     eprintln!("calicobeam: {} stops", config.name);
     tokio::time::sleep(span(ACCEPT_ON_MS)).await;
     closing.notify_one();
+    second.notify_one();
     stop.begin();
     let until = host.clock.now() + env.longest_deadline_ms().max(3_000.0) + STOP_MORE_MS;
     // A moment for connections that the machine had accepted and this process not yet.
@@ -102,6 +127,10 @@
     Ok(())
 }
 
+async fn bind(at: SocketAddr) -> Result<TcpListener, ServeError> {
+    TcpListener::bind(at).await.map_err(|e| ServeError::System(format!("listen on {at}"), e))
+}
+
 fn print_counters(host: &Rc<Host>) {
     eprint!("{}", host.with(|engine| engine.counters.to_string()));
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 use argh::FromArgs;
 use calicobeam::lifecycle::config::Config;
+use calicobeam::lifecycle::front::FrontConfig;
 use calicobeam::lifecycle::serve;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -28,6 +29,9 @@
     /// the configuration; else the file that NODE_CONFIG names
     #[argh(option)]
     config: Option<PathBuf>,
+    /// the file of the second front, signed URLs; without it that front is off
+    #[argh(option)]
+    front: Option<PathBuf>,
 }
 
 /// Print the version.
@@ -42,6 +46,9 @@
     /// the configuration; else the file that NODE_CONFIG names
     #[argh(option)]
     config: Option<PathBuf>,
+    /// the file of the second front, signed URLs
+    #[argh(option)]
+    front: Option<PathBuf>,
 }
 
 fn read(path: Option<PathBuf>) -> Result<Config, String> {
@@ -50,19 +57,26 @@
     Config::read(&path).map_err(|e| e.to_string())
 }
 
+fn read_front(path: Option<PathBuf>, config: &Config) -> Result<Option<FrontConfig>, String> {
+    let read = |path: PathBuf| FrontConfig::read(&path, config.limits.sockets).map_err(|e| e.to_string());
+    path.map(read).transpose()
+}
+
 fn run() -> Result<(), String> {
     match argh::from_env::<Arguments>().command {
         Command::Version(_) => println!("calicobeam {}", env!("CARGO_PKG_VERSION")),
         Command::Check(check) => {
             let config = read(check.config)?;
+            read_front(check.front, &config)?;
             println!("calicobeam: the configuration of {:?} is in order", config.name);
         }
         Command::Serve(arguments) => {
             let config = read(arguments.config)?;
+            let front = read_front(arguments.front, &config)?;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
             let tasks = tokio::task::LocalSet::new();
-            let served = tasks.block_on(&runtime, serve::serve(config));
+            let served = tasks.block_on(&runtime, serve::serve(config, front));
             return served.map_err(|e| e.to_string());
         }
     }
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -62,8 +62,8 @@
     pub if_range: Option<String>,
     /// `If-None-Match`, as it came.
     pub if_none_match: Option<String>,
-    /// When the client stops waiting, in Unix milliseconds.
-    pub give_up_ms: f64,
+    /// `If-Match`, as it came.
+    pub if_match: Option<String>,
 }
 
 /// What a request means to a front.
--- a/src/wire/http.rs
+++ b/src/wire/http.rs
@@ -85,6 +85,7 @@
         408 => "Request Timeout",
         409 => "Conflict",
         411 => "Length Required",
+        412 => "Precondition Failed",
         413 => "Content Too Large",
         416 => "Range Not Satisfiable",
         431 => "Request Header Fields Too Large",
--- /dev/null
+++ b/src/wire/keys.rs
@@ -0,0 +1,225 @@
+//! The keys that links are signed with: a JWK set (RFC 7517), and what a rotation leaves behind.
+
+use jsonwebtoken::{Algorithm, DecodingKey};
+use serde::Deserialize;
+use std::collections::HashMap;
+use thiserror::Error;
+
+/// The most keys of a set, and the most that a ring still holds after they were rotated out.
+const KEYS_MOST: usize = 64;
+/// The shortest secret, in bytes: RFC 7518 asks as many of HS256 as its hash is long.
+const SECRET_LEAST: usize = 32;
+
+/// What is wrong with a set of keys.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum KeysError {
+    /// The text is no JWK set.
+    #[error("not a JWK set: {0}")]
+    Malformed(String),
+    /// One of its keys can't be used.
+    #[error("key {0}: {1}")]
+    Key(usize, &'static str),
+    /// It holds no key that can be used, or too many.
+    #[error("{0}")]
+    Count(&'static str),
+}
+
+/// A key with the one algorithm that its type allows.
+#[derive(Clone)]
+pub struct Key {
+    /// What signatures are checked with.
+    pub key: DecodingKey,
+    /// How.
+    pub algorithm: Algorithm,
+    material: Vec<u8>,
+}
+
+impl std::fmt::Debug for Key {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        // Never the key itself.
+        write!(f, "Key({:?})", self.algorithm)
+    }
+}
+
+#[derive(Deserialize)]
+struct Set {
+    keys: Vec<Jwk>,
+}
+
+#[derive(Deserialize)]
+struct Jwk {
+    kty: String,
+    kid: Option<String>,
+    #[serde(rename = "use")]
+    purpose: Option<String>,
+    alg: Option<String>,
+    crv: Option<String>,
+    k: Option<String>,
+    x: Option<String>,
+    y: Option<String>,
+}
+
+/// Bytes of unpadded base64url, in its one spelling.
+pub fn base64url(text: &str) -> Option<Vec<u8>> {
+    let (mut out, mut held, mut bits) = (Vec::with_capacity(text.len() * 3 / 4), 0u32, 0);
+    for byte in text.bytes() {
+        let value = match byte {
+            b'A'..=b'Z' => byte - b'A',
+            b'a'..=b'z' => byte - b'a' + 26,
+            b'0'..=b'9' => byte - b'0' + 52,
+            b'-' => 62,
+            b'_' => 63,
+            _ => return None,
+        };
+        held = held << 6 | u32::from(value);
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            out.push((held >> bits) as u8);
+            held &= (1 << bits) - 1;
+        }
+    }
+    (bits < 6 && held == 0).then_some(out)
+}
+
+impl Jwk {
+    /// The key, or `None` for a type that this proxy has no use for.
+    fn key(&self, place: usize) -> Result<Option<(String, Key)>, KeysError> {
+        let fault = |why| KeysError::Key(place, why);
+        let algorithm = match (self.kty.as_str(), self.crv.as_deref()) {
+            ("oct", _) => Algorithm::HS256,
+            ("EC", Some("P-256")) => Algorithm::ES256,
+            _ => return Ok(None),
+        };
+        if self.purpose.as_deref().is_some_and(|purpose| purpose != "sig") {
+            return Ok(None);
+        }
+        let name = if algorithm == Algorithm::HS256 { "HS256" } else { "ES256" };
+        if self.alg.as_deref().is_some_and(|alg| alg != name) {
+            return Err(fault("`alg` is not that of its type"));
+        }
+        let kid = self.kid.clone().filter(|kid| !kid.is_empty()).ok_or(fault("no `kid`"))?;
+        let part = |text: &Option<String>, why| text.as_deref().and_then(base64url).ok_or(fault(why));
+        let key = if algorithm == Algorithm::HS256 {
+            let secret = part(&self.k, "`k` is not base64url")?;
+            if secret.len() < SECRET_LEAST {
+                return Err(fault("`k` is too short"));
+            }
+            Key { key: DecodingKey::from_secret(&secret), algorithm, material: secret }
+        } else {
+            let (x, y) = (part(&self.x, "`x` is not base64url")?, part(&self.y, "`y` is not base64url")?);
+            if x.len() != 32 || y.len() != 32 {
+                return Err(fault("a coordinate has not 32 bytes"));
+            }
+            let (tx, ty) = (self.x.as_deref().unwrap_or_default(), self.y.as_deref().unwrap_or_default());
+            let key = DecodingKey::from_ec_components(tx, ty).map_err(|_| fault("not a point"))?;
+            Key { key, algorithm, material: [x, y].concat() }
+        };
+        Ok(Some((kid, key)))
+    }
+}
+
+/// Reads a JWK set. Types of keys that are of no use here are skipped, as RFC 7517 asks.
+pub fn read(text: &[u8]) -> Result<HashMap<String, Key>, KeysError> {
+    let set: Set =
+        simd_json::from_slice(&mut text.to_vec()).map_err(|e| KeysError::Malformed(e.to_string()))?;
+    let mut keys = HashMap::new();
+    for (place, jwk) in set.keys.iter().enumerate() {
+        if let Some((kid, key)) = jwk.key(place)? {
+            if keys.insert(kid, key).is_some() {
+                return Err(KeysError::Key(place, "a `kid` stands twice"));
+            }
+        }
+    }
+    match keys.len() {
+        0 => Err(KeysError::Count("no key that can be used")),
+        n if n > KEYS_MOST => Err(KeysError::Count("too many keys")),
+        _ => Ok(keys),
+    }
+}
+
+/// The keys of now, and those rotated out a while ago.
+#[derive(Debug)]
+pub struct KeyRing {
+    keys: HashMap<String, Key>,
+    /// With the time until which each is good.
+    old: Vec<(String, Key, f64)>,
+    overlap_ms: f64,
+}
+
+impl KeyRing {
+    /// A ring of these keys; one that is rotated out is good for `overlap_ms` more.
+    pub fn new(keys: HashMap<String, Key>, overlap_ms: f64) -> Self {
+        Self { keys, old: Vec::new(), overlap_ms }
+    }
+
+    /// Takes a new set. Guards the links that were issued a moment before it: what it lacks stays good for the
+    /// overlap.
+    pub fn rotate(&mut self, keys: HashMap<String, Key>, now: f64) {
+        let until = now + self.overlap_ms;
+        self.old.retain(|(_, _, until)| now < *until);
+        for (kid, key) in std::mem::replace(&mut self.keys, keys) {
+            if self.keys.get(&kid).is_none_or(|k| k.material != key.material) {
+                self.old.push((kid, key, until));
+            }
+        }
+        let most = self.old.len().saturating_sub(KEYS_MOST);
+        self.old.drain(..most);
+    }
+
+    /// The keys of a name that are good at `now`, that of the present set first.
+    pub fn find<'a>(&'a self, kid: &'a str, now: f64) -> impl Iterator<Item = &'a Key> {
+        let old = self.old.iter().filter(move |(k, _, until)| k == kid && now < *until);
+        self.keys.get(kid).into_iter().chain(old.map(|(_, key, _)| key))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const K: &str = "AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8";
+
+    fn set(kid: &str, k: &str) -> Result<HashMap<String, Key>, KeysError> {
+        read(format!("{{\"keys\":[{{\"kty\":\"oct\",\"kid\":\"{kid}\",\"k\":\"{k}\"}}]}}").as_bytes())
+    }
+
+    #[test]
+    fn base64url_has_one_spelling() {
+        assert_eq!(base64url("AQID").unwrap(), [1, 2, 3]);
+        assert_eq!(base64url("AQ").unwrap(), [1]);
+        for bad in ["A", "AR", "AQ==", "A+ID", "AQI D"] {
+            assert_eq!(base64url(bad), None, "{bad}");
+        }
+    }
+
+    #[test]
+    fn sets_are_checked_key_by_key() {
+        assert_eq!(set("a", K).unwrap()["a"].algorithm, Algorithm::HS256);
+        assert_eq!(set("a", "AQID").unwrap_err(), KeysError::Key(0, "`k` is too short"));
+        assert_eq!(set("", K).unwrap_err(), KeysError::Key(0, "no `kid`"));
+        assert!(matches!(read(b"{"), Err(KeysError::Malformed(_))));
+        assert!(matches!(read(br#"{"keys":[{"kty":"RSA","kid":"r"}]}"#), Err(KeysError::Count(_))));
+        let alg = format!(r#"{{"keys":[{{"kty":"oct","kid":"a","alg":"ES256","k":"{K}"}}]}}"#);
+        assert_eq!(read(alg.as_bytes()).unwrap_err(), KeysError::Key(0, "`alg` is not that of its type"));
+        let twice = format!(
+            r#"{{"keys":[{{"kty":"oct","kid":"a","k":"{K}"}},{{"kty":"oct","kid":"a","k":"{K}"}}]}}"#
+        );
+        assert_eq!(read(twice.as_bytes()).unwrap_err(), KeysError::Key(1, "a `kid` stands twice"));
+    }
+
+    #[test]
+    fn a_key_rotated_out_is_good_for_the_overlap() {
+        let other = K.replace('A', "B");
+        let mut ring = KeyRing::new(set("a", K).unwrap(), 1_000.0);
+        ring.rotate(set("b", K).unwrap(), 5_000.0);
+        assert_eq!(ring.find("a", 5_999.0).count(), 1);
+        assert_eq!(ring.find("a", 6_000.0).count(), 0);
+        assert_eq!(ring.find("b", 9_000.0).count(), 1);
+        // The same name with another key: both are good for a while.
+        ring.rotate(set("b", &other).unwrap(), 9_000.0);
+        assert_eq!((ring.find("b", 9_500.0).count(), ring.find("b", 10_000.0).count()), (2, 1));
+        (0..200).for_each(|k| ring.rotate(set(&format!("k{k}"), K).unwrap(), 9_100.0));
+        assert!(ring.old.len() <= KEYS_MOST);
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -6,8 +6,10 @@
 pub mod client;
 pub mod frames;
 pub mod http;
+pub mod keys;
 pub mod lines;
 pub mod platform;
+pub mod signed;
 
 use thiserror::Error;
 
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -100,10 +100,7 @@
             });
         }
         match self.ask(request, now) {
-            Ok(ask) => {
-                let context = Context { give_up_ms: ask.give_up_ms, ..Context::default() };
-                Intake::Ask(ask, context)
-            }
+            Ok(ask) => Intake::Ask(ask, Context::default()),
             Err(answer) => Intake::Now(answer),
         }
     }
--- /dev/null
+++ b/src/wire/signed.rs
@@ -0,0 +1,413 @@
+//! The front of signed URLs: URI Signing for CDNI (RFC 9246).
+//!
+//! A link is `/media/CLASS/GROUP/OBJECT/PART` or the same with the part's size in KB as a last step, and one
+//! parameter, `URISigningPackage`, with a signed JWT. Nothing else of a request says what is fetched. A path
+//! has one spelling only, so that a signature for one object can't be stretched to another.
+
+use super::client::{Context, Front, Intake, Limits};
+use super::http::{HttpAnswer, HttpRequest};
+use super::keys::KeyRing;
+use super::lines::hex16;
+use super::platform::bare_tag;
+use crate::engine::host::Host;
+use crate::memory::requests::{Ask, Final, NotTaken};
+use crate::settings::Env;
+use jsonwebtoken::{decode, decode_header, Validation};
+use regex::RegexBuilder;
+use serde::Deserialize;
+use sha2::{Digest, Sha256};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+/// Name of the parameter that holds the token.
+pub const PACKAGE: &str = "URISigningPackage";
+/// Taken off a class's deadline for the way back to the client, in milliseconds.
+const MARGIN_MS: f64 = 40.0;
+/// The most memory that a token's regular expression may take, in bytes.
+const REGEX_MOST: usize = 65_536;
+/// Claims that this front understands and checks.
+const UNDERSTOOD: [&str; 7] = ["iss", "exp", "nbf", "iat", "sub", "cdniv", "cdniuc"];
+
+/// Why a token opens nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// It can't be read.
+    Malformed,
+    /// It can be read, and is not good for this request at this time.
+    Forbidden,
+}
+
+impl Denied {
+    fn status(self) -> u16 {
+        match self {
+            Self::Malformed => 400,
+            Self::Forbidden => 403,
+        }
+    }
+}
+
+/// The claims that matter here. Those that must be refused where they can't be checked are read as present.
+#[derive(Debug, Deserialize)]
+struct Claims {
+    iss: Option<String>,
+    exp: Option<f64>,
+    nbf: Option<f64>,
+    aud: Option<Present>,
+    jti: Option<Present>,
+    cdniv: Option<f64>,
+    cdnicrit: Option<String>,
+    cdniip: Option<Present>,
+    cdniuc: Option<String>,
+    cdniets: Option<Present>,
+    cdnistt: Option<Present>,
+    cdnistd: Option<Present>,
+}
+
+/// A value of any type, of which only its presence matters.
+#[derive(Debug, Deserialize)]
+#[serde(from = "serde::de::IgnoredAny")]
+struct Present;
+
+impl From<serde::de::IgnoredAny> for Present {
+    fn from(_: serde::de::IgnoredAny) -> Self {
+        Self
+    }
+}
+
+/// What tokens are checked against.
+#[derive(Debug)]
+pub struct Verifier {
+    /// The keys.
+    pub keys: KeyRing,
+    /// The one issuer whose links are taken.
+    pub issuer: String,
+    /// How far clocks may be apart, in milliseconds.
+    pub leeway_ms: f64,
+}
+
+impl Verifier {
+    /// Whether a token opens `uri` at `now`. `also` is a URI that the same token must not open.
+    pub fn check(&self, token: &str, uri: &str, also: Option<&str>, now: f64) -> Result<(), Denied> {
+        let mut parts = token.split('.');
+        let shape = (parts.next(), parts.next(), parts.next(), parts.next());
+        let (Some(head), Some(_), Some(_), None) = shape else { return Err(Denied::Malformed) };
+        // A header that names what must be understood is refused, as RFC 7515 asks: nothing is understood.
+        if header_is_critical(head)? {
+            return Err(Denied::Forbidden);
+        }
+        let header = decode_header(token).map_err(|_| Denied::Forbidden)?;
+        let kid = header.kid.ok_or(Denied::Forbidden)?;
+        // Guards against a token that names its own way of being checked: the key alone says how.
+        let claims = self.keys.find(&kid, now).find_map(|key| {
+            let mut how = Validation::new(key.algorithm);
+            (how.validate_exp, how.validate_nbf, how.validate_aud) = (false, false, false);
+            how.required_spec_claims.clear();
+            let same = header.alg == key.algorithm;
+            same.then(|| decode::<Claims>(token, &key.key, &how).ok()).flatten()
+        });
+        self.check_claims(&claims.ok_or(Denied::Forbidden)?.claims, uri, also, now)
+    }
+
+    fn check_claims(&self, claims: &Claims, uri: &str, also: Option<&str>, now: f64) -> Result<(), Denied> {
+        let no = Err(Denied::Forbidden);
+        // A version that is not told is the first; any other is not understood.
+        if claims.cdniv.is_some_and(|version| version != 1.0) {
+            return no;
+        }
+        let critical = claims.cdnicrit.iter().flat_map(|names| names.split(',')).map(str::trim);
+        if critical.into_iter().any(|name| !UNDERSTOOD.contains(&name)) {
+            return no;
+        }
+        // A nonce, an audience, an address and the renewal of tokens can't be honoured here: RFC 9246 has what
+        // can't be checked refused, not skipped.
+        let unchecked =
+            [&claims.aud, &claims.jti, &claims.cdniip, &claims.cdniets, &claims.cdnistt, &claims.cdnistd];
+        if unchecked.iter().any(|claim| claim.is_some()) || claims.iss.as_deref() != Some(&self.issuer) {
+            return no;
+        }
+        let Some(expires) = claims.exp else { return no };
+        if now >= expires * 1_000.0 + self.leeway_ms {
+            return no;
+        }
+        if claims.nbf.is_some_and(|from| now < from * 1_000.0 - self.leeway_ms) {
+            return no;
+        }
+        let Some(container) = &claims.cdniuc else { return no };
+        if opens(container, uri)? && !also.map_or(Ok(false), |other| opens(container, other))? {
+            Ok(())
+        } else {
+            no
+        }
+    }
+}
+
+fn header_is_critical(head: &str) -> Result<bool, Denied> {
+    #[derive(Deserialize)]
+    struct Head {
+        crit: Option<Present>,
+    }
+    let mut text = super::keys::base64url(head).ok_or(Denied::Malformed)?;
+    let head: Head = simd_json::from_slice(&mut text).map_err(|_| Denied::Malformed)?;
+    Ok(head.crit.is_some())
+}
+
+/// Whether a URI container holds a URI: by its hash (RFC 6920, URL segment form) or by a regular expression
+/// that must match all of it.
+fn opens(container: &str, uri: &str) -> Result<bool, Denied> {
+    if let Some(hash) = container.strip_prefix("hash:") {
+        let Some(digest) = hash.strip_prefix("sha-256;") else { return Err(Denied::Forbidden) };
+        let want = super::keys::base64url(digest).ok_or(Denied::Forbidden)?;
+        return Ok(want[..] == Sha256::digest(uri.as_bytes())[..]);
+    }
+    let pattern = container.strip_prefix("regex:").ok_or(Denied::Forbidden)?;
+    // Alone first: what only compiles inside the anchors would have broken out of them.
+    let build =
+        |text: &str| RegexBuilder::new(text).size_limit(REGEX_MOST).build().map_err(|_| Denied::Forbidden);
+    build(pattern)?;
+    Ok(build(&format!("^(?:{pattern})$"))?.is_match(uri))
+}
+
+/// What a link names.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Link {
+    /// Place of the class.
+    pub class: usize,
+    /// The group.
+    pub group: u32,
+    /// The object.
+    pub object: u64,
+    /// The part.
+    pub part: u32,
+    /// KB of the part; 0 where unknown.
+    pub size_kb: f64,
+}
+
+/// A whole number in its one spelling.
+fn number(text: &str) -> Option<u32> {
+    text.parse().ok().filter(|n: &u32| n.to_string() == text)
+}
+
+impl Link {
+    /// Reads a path; else the status that says what is wrong with it.
+    fn read(path: &str, env: &Env) -> Result<Self, u16> {
+        let steps: Vec<&str> = path.strip_prefix("/media/").ok_or(404u16)?.split('/').collect();
+        let (class, group, object, part, size) = match steps[..] {
+            [class, group, object, part] => (class, group, object, part, None),
+            [class, group, object, part, size] => (class, group, object, part, Some(size)),
+            _ => return Err(404),
+        };
+        let class = env.class(class).filter(|class| !env.is_write(*class)).ok_or(404u16)?;
+        let group = number(group).filter(|g| *g <= 255).ok_or(400u16)?;
+        let lower = !object.bytes().any(|b| b.is_ascii_uppercase());
+        let object = hex16(object).filter(|_| lower).ok_or(400u16)?;
+        let part = number(part).ok_or(400u16)?;
+        let size_kb = match size {
+            None => 0.0,
+            Some(text) => {
+                let size = text.parse::<f64>().ok().filter(|s| s.is_finite() && *s > 0.0);
+                size.filter(|s| s.to_string() == text).ok_or(400u16)?
+            }
+        };
+        Ok(Self { class, group, object, part, size_kb })
+    }
+
+    /// The path of a link.
+    pub fn path(&self, env: &Env) -> String {
+        let class = env.class_name(self.class).unwrap_or_default();
+        let path = format!("/media/{class}/{}/{:016x}/{}", self.group, self.object, self.part);
+        if self.size_kb > 0.0 {
+            format!("{path}/{}", self.size_kb)
+        } else {
+            path
+        }
+    }
+}
+
+/// The front.
+pub struct SignedUrls {
+    env: Rc<Env>,
+    limits: Limits,
+    scheme: String,
+    /// What tokens are checked against.
+    pub verifier: RefCell<Verifier>,
+    salt: u64,
+    asked: Cell<u64>,
+}
+
+impl SignedUrls {
+    /// A front under these settings. `salt` keeps its requests' ids apart from those of its last start.
+    pub fn new(env: Rc<Env>, limits: Limits, scheme: String, verifier: Verifier, salt: u64) -> Self {
+        Self { env, limits, scheme, verifier: RefCell::new(verifier), salt, asked: Cell::new(0) }
+    }
+
+    fn ask(&self, request: &HttpRequest, now: f64) -> Result<(Box<Ask>, Context), HttpAnswer> {
+        let status = |status| move |_| HttpAnswer::status(status);
+        let bad = || HttpAnswer::status(400);
+        let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
+        // One spelling: nothing is decoded, and no step is empty or a dot.
+        if path.contains('%') || path.split('/').skip(1).any(|s| matches!(s, "" | "." | "..")) {
+            return Err(bad());
+        }
+        let link = Link::read(path, &self.env).map_err(HttpAnswer::status)?;
+        if !matches!(request.method.as_str(), "GET" | "HEAD") {
+            return Err(HttpAnswer::status(405).with("Allow", "GET, HEAD"));
+        }
+        // Guards against parameters that the signature doesn't cover: there is the token, and no other.
+        let token = match query.strip_prefix(PACKAGE).and_then(|rest| rest.strip_prefix('=')) {
+            Some(token) if !token.contains(['&', ';', '%', '?', '#']) => token,
+            None if query.is_empty() => return Err(HttpAnswer::status(403)),
+            _ => return Err(bad()),
+        };
+        let host = request.single("host").map_err(status(400))?.unwrap_or_default().to_ascii_lowercase();
+        let uri = format!("{}://{host}{path}", self.scheme);
+        // Guards the rule on purges: a pattern that leaves the group open would let a client name another one.
+        let other = Link { group: (link.group + 1) % 256, ..link.clone() }.path(&self.env);
+        let other = format!("{}://{host}{other}", self.scheme);
+        let checked = self.verifier.borrow().check(token, &uri, Some(&other), now);
+        checked.map_err(|denied| HttpAnswer::status(denied.status()))?;
+        let header = |name| request.single(name).map_err(status(400));
+        let if_none_match = header("if-none-match")?.map(String::from);
+        let context = Context {
+            head_only: request.method == "HEAD",
+            range: header("range")?.filter(|_| request.method == "GET").map(String::from),
+            if_range: header("if-range")?.map(String::from),
+            if_match: header("if-match")?.map(String::from),
+            if_none_match: if_none_match.clone(),
+        };
+        let deadline = self.env.deadline_ms(link.class);
+        self.asked.set(self.asked.get().wrapping_add(1));
+        // An odd multiplier makes each count another id.
+        let id = self.salt.wrapping_add(self.asked.get().wrapping_mul(0x9E37_79B9_7F4A_7C15));
+        let ask = Ask {
+            id,
+            id_text: format!("{id:016x}"),
+            class: link.class,
+            object: link.object,
+            object_text: format!("{:016x}", link.object),
+            part: link.part,
+            group: link.group,
+            size_kb: link.size_kb,
+            give_up_ms: now + (deadline - MARGIN_MS).max(0.0),
+            // With `If-Match` the bytes decide, so a cache must not say that the client's copy holds.
+            cached: if_none_match.as_deref().filter(|_| context.if_match.is_none()).and_then(bare_tag),
+            ..Ask::default()
+        };
+        Ok((Box::new(ask), context))
+    }
+}
+
+/// Whether a list of tags holds a tag; weak ones count where `weak` says so.
+fn lists(list: &str, tag: &str, weak: bool) -> bool {
+    list.trim() == "*"
+        || list.split(',').map(str::trim).any(|one| {
+            let bare = one.strip_prefix("W/").filter(|_| weak).unwrap_or(one);
+            bare.strip_prefix('"').and_then(|t| t.strip_suffix('"')) == Some(tag)
+        })
+}
+
+/// What a `Range` asks of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Range {
+    /// All of it: none was asked for, or not in a way that is understood.
+    All,
+    /// From the first of these bytes up to before the second.
+    Part(usize, usize),
+    /// Nothing that there is.
+    Outside,
+}
+
+/// Reads a `Range` with one range for a body of a length.
+pub fn range(text: &str, length: usize) -> Range {
+    let Some((first, last)) = text.strip_prefix("bytes=").and_then(|r| r.trim().split_once('-')) else {
+        return Range::All;
+    };
+    let digits = |t: &str| t.bytes().all(|b| b.is_ascii_digit());
+    if !digits(first) || !digits(last) || (first.is_empty() && last.is_empty()) {
+        return Range::All;
+    }
+    // What is too large for a number lies past any end.
+    let value = |t: &str| t.parse::<usize>().unwrap_or(usize::MAX);
+    if first.is_empty() {
+        return match value(last).min(length) {
+            0 => Range::Outside,
+            n => Range::Part(length - n, length),
+        };
+    }
+    let (first, last) = (value(first), if last.is_empty() { usize::MAX } else { value(last) });
+    if last < first {
+        return Range::All;
+    }
+    if first >= length {
+        return Range::Outside;
+    }
+    Range::Part(first, last.saturating_add(1).min(length))
+}
+
+impl Front for SignedUrls {
+    fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    fn take(&self, host: &Rc<Host>, request: &HttpRequest, now: f64) -> Intake {
+        match self.ask(request, now) {
+            Ok((ask, context)) => Intake::Ask(ask, context),
+            Err(answer) => {
+                host.with(|engine| match answer.status {
+                    403 => engine.counters.forbidden_requests += 1,
+                    400 => engine.counters.malformed_requests += 1,
+                    _ => {}
+                });
+                Intake::Now(answer)
+            }
+        }
+    }
+
+    fn word(&self, context: &Context, answer: Final) -> HttpAnswer {
+        let quoted = |tag: &str| format!("\"{tag}\"");
+        let mut worded = match answer {
+            Final::Same { tag } => HttpAnswer::status(304).with("ETag", quoted(&tag)),
+            Final::Served { tag, body } => {
+                let tag = tag.unwrap_or_default();
+                let holds = |list: &Option<String>, weak| list.as_deref().map(|list| lists(list, &tag, weak));
+                let whole = context.if_range.is_some() && holds(&context.if_range, false) != Some(true);
+                let asked = context.range.as_deref().filter(|_| !whole);
+                if holds(&context.if_match, false) == Some(false) {
+                    HttpAnswer::status(412)
+                } else if holds(&context.if_none_match, true) == Some(true) {
+                    HttpAnswer::status(304).with("ETag", quoted(&tag))
+                } else {
+                    let length = body.len();
+                    let answer = match asked.map_or(Range::All, |text| range(text, length)) {
+                        Range::All => HttpAnswer { body, ..HttpAnswer::status(200) },
+                        Range::Part(from, to) => {
+                            HttpAnswer { body: body.slice(from..to), ..HttpAnswer::status(206) }
+                                .with("Content-Range", format!("bytes {from}-{}/{length}", to - 1))
+                        }
+                        Range::Outside => {
+                            HttpAnswer::status(416).with("Content-Range", format!("bytes */{length}"))
+                        }
+                    };
+                    let answer = if tag.is_empty() { answer } else { answer.with("ETag", quoted(&tag)) };
+                    answer.with("Accept-Ranges", "bytes").with("Content-Type", "application/octet-stream")
+                }
+            }
+            Final::Refused { overdue: true, .. } | Final::Failed { overdue: true } => HttpAnswer::status(504),
+            Final::Refused { wait_ms, .. } => refused(wait_ms),
+            Final::Failed { .. } => HttpAnswer::status(502),
+        };
+        worded.head_only = context.head_only;
+        // What was given for a token is nobody else's.
+        worded.with("Cache-Control", "private")
+    }
+
+    fn not_taken(&self, why: NotTaken) -> HttpAnswer {
+        match why {
+            NotTaken::Full => refused(0.0),
+            NotTaken::Duplicate => HttpAnswer::status(502),
+        }
+    }
+}
+
+fn refused(wait_ms: f64) -> HttpAnswer {
+    HttpAnswer::status(503).with("Retry-After", format!("{}", (wait_ms / 1_000.0).ceil().max(1.0)))
+}
