--- /dev/null
+++ b/tests/model.rs
@@ -0,0 +1,248 @@
+//! The engine and its connections against a model, by random steps on a clock that the test sets.
+
+use calicobeam::clock::Clock;
+use calicobeam::engine::{Effect, Engine, EngineBounds, Next};
+use calicobeam::memory::connections::{Bounds, ConnId};
+use calicobeam::memory::requests::{Ask, Final};
+use calicobeam::settings::{Env, Row};
+use calicobeam::wire::frames::{News, Numbered, Target};
+use calicobeam::wire::lines::{Command, Reply, Word};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+const START: f64 = 1_764_576_000_000.0;
+
+/// What the model knows of a connection.
+#[derive(Default)]
+struct Link {
+    up: bool,
+    /// Requests written and neither answered nor given up.
+    out: BTreeSet<u64>,
+    /// Requests given up, whose late answers must end nothing.
+    late: BTreeSet<u64>,
+    port: u16,
+}
+
+struct Model {
+    clock: Clock,
+    engine: Engine,
+    links: BTreeMap<ConnId, Link>,
+    /// Requests that owe an answer, with the time by which it must come.
+    owed: BTreeMap<u64, f64>,
+    live: BTreeSet<u32>,
+    next_id: u64,
+    next_no: u64,
+}
+
+fn target(id: u32, lifecycle: &str) -> Target {
+    let (zone, model) = match id {
+        1..=3 => ("town", "box"),
+        8 => ("hub", "parent"),
+        _ => ("hub", "origin"),
+    };
+    let row = Row {
+        zone: zone.into(),
+        model: model.into(),
+        lifecycle: lifecycle.into(),
+        ready_at_us: 0,
+        cache: id,
+        power_hint: Some(4.0),
+        cohort: 0,
+    };
+    Target { row, address: SocketAddrV4::new([127, 0, 0, 1].into(), 5_000 + id as u16) }
+}
+
+impl Model {
+    fn new() -> Self {
+        let mut text = br#"{"classes":[{"name":"clip","deadlineUs":5000000,"promiseUs":600000,"semantics":"pure",
+            "worth":2.0}],"familyInfo":{"mayPassBy":true,"midKind":1,"rootKind":2,"purgeDoneUs":6000000,
+            "seatsByZone":[0,1]},"localities":["hub","town"],"locality":"town","skus":["box","parent","origin"],
+            "siblings":1,"policyLimits":{"cancelling":true,"connectTimeoutUs":400000,"sendCap":8,
+            "streamsPerConn":4}}"#
+            .to_vec();
+        let env: Env = simd_json::from_slice(&mut text).unwrap();
+        let clock = Clock::manual(START);
+        let connections = Bounds { total: 8, member: 2, spread: 1, streams: 4 };
+        let bounds = EngineBounds { requests: 32, connections };
+        let engine = Engine::new(clock.clone(), Rc::new(env), 7, bounds);
+        let (links, owed, live) = Default::default();
+        let mut model = Self { clock, engine, links, owed, live, next_id: 0, next_no: 0 };
+        let ids = [1, 2, 3, 8, 9];
+        let targets = ids.iter().map(|id| target(*id, "live")).collect();
+        model.news(News::Roster { full: true, targets });
+        model.live = ids.into();
+        model
+    }
+
+    fn news(&mut self, news: News) {
+        self.next_no += 1;
+        self.engine.news(Numbered { no: self.next_no, news });
+    }
+
+    /// Does one step; `a` and `b` choose among what there is.
+    fn step(&mut self, kind: u8, a: u16, b: u16) {
+        let pick = |n: usize| usize::from(a) % n.max(1);
+        let conn = self.links.keys().nth(pick(self.links.len())).copied();
+        match kind {
+            0..=2 => {
+                self.next_id += 1;
+                let give_up_ms = self.clock.now() + 100.0 + f64::from(b % 1_400);
+                let ask = Ask { id: self.next_id, object: u64::from(a % 16), group: u32::from(a % 4), give_up_ms, ..Ask::default() };
+                match self.engine.request(ask) {
+                    Ok(()) => assert!(self.owed.insert(self.next_id, give_up_ms).is_none()),
+                    Err(_) => assert!(self.owed.len() >= 32),
+                }
+            }
+            3 => {
+                if let Some(id) = self.owed.keys().nth(pick(self.owed.len())).copied() {
+                    self.owed.remove(&id);
+                    self.engine.left(id);
+                }
+            }
+            4 | 5 => {
+                if let Some((conn, link)) = conn.and_then(|c| self.links.get_mut(&c).map(|l| (c, l))) {
+                    if !link.up && b % 4 == 0 {
+                        self.links.remove(&conn);
+                        self.engine.connect_failed(conn, false);
+                    } else if !link.up {
+                        link.up = true;
+                        self.engine.connected(conn);
+                    } else if b % 8 == 0 {
+                        self.links.remove(&conn);
+                        self.engine.broken(conn);
+                    }
+                }
+            }
+            6..=9 => {
+                if let Some(conn) = conn {
+                    self.answer(conn, b);
+                }
+            }
+            10 => {
+                let id = [1, 2, 3, 8][pick(4)];
+                let lifecycle = ["live", "quiescing", "dead"][usize::from(b) % 3];
+                if lifecycle == "live" {
+                    self.live.insert(id);
+                } else {
+                    self.live.remove(&id);
+                }
+                self.news(News::Roster { full: false, targets: vec![target(id, lifecycle)] });
+            }
+            11 => {
+                let issued = self.clock.now() - 50.0;
+                self.news(News::Purge { object: None, group: u32::from(a % 4), issued });
+            }
+            _ => {
+                self.clock.advance(f64::from(b % 200));
+                self.engine.tick();
+            }
+        }
+        self.settle();
+    }
+
+    /// A member answers something on a connection: what is out, or what was given up.
+    fn answer(&mut self, conn: ConnId, b: u16) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        let words = [Word::Ack, Word::Ack, Word::Noent, Word::Again, Word::Eio, Word::Stale];
+        let late = b % 5 == 0 && !link.late.is_empty();
+        let from = if late { &mut link.late } else { &mut link.out };
+        let Some(id) = from.iter().nth(usize::from(b) % from.len().max(1)).copied() else { return };
+        from.remove(&id);
+        let word = words[usize::from(b / 8) % words.len()];
+        let body = format!("{conn}:{id}").into();
+        let before = self.engine.owed();
+        self.engine.answered(conn, Reply { id, word, tag: Some("t".into()), born: None, body });
+        assert!(!late || self.engine.owed() == before, "a late answer ended a request");
+    }
+
+    /// Carries out the effects, with every rule checked on the way.
+    fn settle(&mut self) {
+        loop {
+            while let Some(effect) = self.engine.take_effect() {
+                match effect {
+                    Effect::Open { conn, address, .. } => {
+                        let link = Link { port: address.port(), ..Link::default() };
+                        assert!(self.links.insert(conn, link).is_none(), "a number was used again");
+                        assert!(self.links.len() <= 8, "too many connections");
+                    }
+                    Effect::Wake(_) => {}
+                    Effect::Answer(id, answer) => {
+                        assert!(self.owed.remove(&id).is_some(), "a second answer, or one to nobody");
+                        if let Final::Served { body, .. } = answer {
+                            assert!(body.ends_with(format!(":{id}").as_bytes()), "another request's bytes");
+                        }
+                    }
+                }
+            }
+            let up: Vec<ConnId> = self.links.iter().filter(|(_, l)| l.up).map(|(c, _)| *c).collect();
+            for conn in up {
+                self.write(conn);
+            }
+            assert_eq!(self.engine.owed(), self.owed.len());
+            if let Some(effect) = self.engine.take_effect() {
+                // Put back by doing it: a write may have led to more.
+                self.effect(effect);
+                continue;
+            }
+            break;
+        }
+    }
+
+    fn effect(&mut self, effect: Effect) {
+        match effect {
+            Effect::Open { conn, address, .. } => {
+                self.links.insert(conn, Link { port: address.port(), ..Link::default() });
+            }
+            Effect::Wake(_) => {}
+            Effect::Answer(id, _) => assert!(self.owed.remove(&id).is_some(), "a second answer"),
+        }
+    }
+
+    fn write(&mut self, conn: ConnId) {
+        loop {
+            let next = self.engine.next_write(conn);
+            let Some(link) = self.links.get_mut(&conn) else { return };
+            match next {
+                Next::Idle => return,
+                Next::Close => {
+                    assert!(link.out.is_empty(), "closed with requests on it");
+                    self.links.remove(&conn);
+                    return self.engine.broken(conn);
+                }
+                Next::Write(Command::Drop(_)) => {}
+                Next::Write(Command::Get(get)) => {
+                    let member = u32::from(link.port - 5_000);
+                    assert!(self.live.contains(&member), "a request to a member that drains");
+                    assert!(get.source.is_none_or(|s| self.live.contains(&s)), "a source that drains");
+                    // The id on the wire is empty here, so the engine's own books say which request it is.
+                    assert!(get.wait_ms <= 1_500);
+                    let id = self.engine.last_written().expect("it was just written");
+                    assert!(self.owed.contains_key(&id), "written for a request that has ended");
+                    assert!(!link.late.contains(&id), "again on a connection where it was given up");
+                    assert!(link.out.insert(id) && link.out.len() <= 4);
+                }
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn random_steps_keep_every_promise(steps in prop::collection::vec((0u8..16, any::<u16>(), any::<u16>()), 1..250)) {
+        let mut model = Model::new();
+        for (kind, a, b) in steps {
+            model.step(kind, a, b);
+            let now = model.clock.now();
+            prop_assert!(model.owed.values().all(|until| now < *until + 200.0), "an answer is overdue");
+        }
+        // In the end everything is answered, whatever was left hanging.
+        model.clock.advance(2_000.0);
+        model.engine.tick();
+        model.settle();
+        prop_assert!(model.owed.is_empty());
+    }
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,196 @@
+//! The platform's front on loopback.
+
+mod stand_ins;
+
+use calicobeam::wire::client::{Front, Limits};
+use calicobeam::wire::platform::Platform;
+use stand_ins::*;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+
+const CLIP: &str = "/ops/clip/7f3a9c21e0b4d655/slice-3";
+
+async fn open(name: &str) -> (Site, SocketAddr) {
+    let site = Site::start(name).await;
+    let front: Rc<dyn Front> = Rc::new(Platform::new(site.env.clone(), Limits::default()));
+    let at = site.open(front).await;
+    (site, at)
+}
+
+fn headers(id: u64) -> String {
+    format!("X-Call-Id: {id:016x}\r\nX-Patience-Ms: 1500\r\nX-Set: 17\r\nX-Heap-Kb: 412.5\r\n")
+}
+
+#[test]
+fn a_request_goes_its_whole_way() {
+    run(async {
+        let (site, at) = open("whole_way").await;
+        let mut client = Client::connect(at).await;
+        assert_eq!(client.ask("GET", "/alive", "").await.status, 200);
+        let answer = client.ask("GET", CLIP, &headers(1)).await;
+        assert_eq!((answer.status, &answer.body[..]), (200, &b"bytes of 7f3a9c21e0b4d655 part 3"[..]));
+        let same = client.ask("GET", CLIP, &(headers(2) + "If-None-Match: \"t1\"\r\n")).await;
+        assert_eq!((same.status, same.body.len()), (304, 0));
+        let seen: Vec<_> = CACHES.iter().flat_map(|id| site.members[id].asked.borrow().clone()).collect();
+        assert_eq!(seen.len(), 2);
+        let by_id = |id: &str| seen.iter().find(|fields| fields["id"] == id).unwrap();
+        let first = by_id("0000000000000001");
+        assert_eq!((first["c"].as_str(), first["p"].as_str()), ("clip", "3"));
+        assert_eq!((first["next"].as_str(), first["ways"].as_str()), ("s-000000a0", "ride"));
+        assert!(first["w"].parse::<u32>().unwrap() <= 1_500);
+        assert_eq!(by_id("0000000000000002")["cached"], "t1");
+    });
+}
+
+#[test]
+fn a_write_goes_to_the_origin_with_its_key_and_body() {
+    run(async {
+        let (site, at) = open("write").await;
+        let mut client = Client::connect(at).await;
+        let head = headers(3) + "X-Dedupe-Key: 5c0f6e\r\nContent-Length: 5\r\n";
+        let text = format!("PUT /ops/post/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: o\r\n{head}\r\nhello");
+        client.write(text.as_bytes()).await;
+        assert_eq!(client.read(false).await.unwrap().status, 200);
+        let asked = site.members[&ORIGIN].asked.borrow();
+        assert_eq!((asked.len(), asked[0]["i"].as_str()), (1, "5c0f6e"));
+    });
+}
+
+/// Guards the faults of clients: each has its status, and none reaches a member.
+#[test]
+fn what_is_no_request_has_its_status() {
+    run(async {
+        let (site, at) = open("faults").await;
+        let good = headers(1);
+        let cases = [
+            ("GET", "/nothing", good.as_str(), 404),
+            ("GET", "/ops/nothing/7f3a9c21e0b4d655", &good, 404),
+            ("GET", "/ops/clip/7f3a9c21e0b4d655/slice-3/4", &good, 404),
+            ("PUT", CLIP, &good, 405),
+            ("GET", "/ops/post/7f3a9c21e0b4d655", &good, 405),
+            ("POST", "/alive", "", 405),
+            ("GET", "/ops/clip/short/slice-3", &good, 400),
+            ("GET", "/ops/clip/7f3a9c21e0b4d655/slice-x", &good, 400),
+            ("GET", CLIP, "X-Patience-Ms: 1500\r\n", 400),
+            ("GET", CLIP, "X-Call-Id: 1\r\n", 400),
+            ("GET", CLIP, "X-Call-Id: 0000000000000001\r\nX-Patience-Ms: NaN\r\n", 400),
+            ("GET", CLIP, "X-Call-Id: 0000000000000001\r\nX-Call-Id: 0000000000000002\r\n", 400),
+            ("GET", CLIP, "X-Call-Id: 0000000000000001\r\nX-Dedupe-Key: a,b=c\r\n", 400),
+        ];
+        for (method, target, headers, status) in cases {
+            assert_eq!(ask(at, method, target, headers).await.status, status, "{method} {target} {headers}");
+        }
+        for (bytes, status) in [("\x00\r\n\r\n", 400), ("GET / HTTP/1.1\r\n\r\n", 400)] {
+            let mut client = Client::connect(at).await;
+            client.write(bytes.as_bytes()).await;
+            let answer = client.read(false).await.unwrap();
+            assert_eq!((answer.status, answer.closed), (status, true));
+        }
+        assert_eq!(site.asked_in_all(), 0);
+    });
+}
+
+/// What the module gives up is answered at once, and says when to come back.
+#[test]
+fn a_refusal_comes_at_once_with_advice() {
+    run(async {
+        let (site, at) = open("refusal").await;
+        site.all(says("AGAIN"));
+        let answer = ask(at, "GET", CLIP, &headers(1)).await;
+        assert_eq!(answer.status, 503);
+        assert!(answer.headers["x-come-back-ms"].parse::<f64>().unwrap() > 0.0);
+        assert_eq!(site.clock.now(), START_MS, "no time has passed");
+    });
+}
+
+#[test]
+fn a_client_that_leaves_has_its_attempt_called_off() {
+    run(async {
+        let (site, at) = open("leaves").await;
+        site.all(silent());
+        let mut client = Client::connect(at).await;
+        client.write(format!("GET {CLIP} HTTP/1.1\r\nHost: o\r\n{}\r\n", headers(9)).as_bytes()).await;
+        until(|| site.asked_in_all() == 1).await;
+        drop(client);
+        let dropped = || site.members.values().map(|m| m.dropped.borrow().len()).sum::<usize>();
+        until(|| dropped() == 1).await;
+        let (left, owed) = site.host.with(|e| (e.counters.left, e.owed()));
+        assert_eq!((left, owed), (1, 0));
+    });
+}
+
+/// Guards against a member whose bytes can't be read: its connection ends, and the request goes elsewhere.
+#[test]
+fn a_member_that_talks_nonsense_is_left() {
+    run(async {
+        let (site, at) = open("nonsense").await;
+        let nonsense: Script = Rc::new(|_| Some(("WHAT", "-".into(), Vec::new())));
+        *site.members[&CACHES[0]].script.borrow_mut() = nonsense;
+        for id in 1..30u64 {
+            let target = format!("/ops/clip/{:016x}/slice-0", id * 7_919);
+            assert_eq!(ask(at, "GET", &target, &headers(id)).await.status, 200);
+        }
+        assert!(site.asked(CACHES[0]) > 0);
+        assert!(site.host.with(|e| e.counters.malformed_members) > 0);
+    });
+}
+
+/// A link to the bulletin that ends is made anew from the last number, and nothing is taken twice.
+#[test]
+fn the_bulletin_is_followed_across_a_cut() {
+    run(async {
+        let (site, _) = open("bulletin").await;
+        let no = site.bulletin.purge(17, START_MS as u64);
+        until(|| site.host.with(|e| e.last_no()) == no).await;
+        site.bulletin.cut();
+        until(|| site.bulletin.links.borrow().len() == 2).await;
+        let no = site.bulletin.purge(18, START_MS as u64);
+        until(|| site.host.with(|e| e.last_no()) == no).await;
+        assert_eq!(*site.bulletin.links.borrow(), [1, no - 1]);
+        assert_eq!(site.host.with(|e| e.counters.bulletin_events), 3);
+    });
+}
+
+#[test]
+fn a_stop_answers_all_that_was_taken() {
+    run(async {
+        let (site, at) = open("stop").await;
+        let go: Rc<std::cell::Cell<bool>> = Rc::default();
+        site.all(silent());
+        let mut busy = Client::connect(at).await;
+        busy.write(format!("GET {CLIP} HTTP/1.1\r\nHost: o\r\n{}\r\n", headers(1)).as_bytes()).await;
+        until(|| site.asked_in_all() == 1).await;
+        let mut idle = Client::connect(at).await;
+        assert_eq!(idle.ask("GET", "/alive", "").await.status, 200);
+        // In the machine's queue already, and not accepted yet, when the stop comes.
+        let mut queued = Client::connect(at).await;
+        queued.write(b"GET /alive HTTP/1.1\r\nHost: o\r\n\r\n").await;
+        site.closing.notify_one();
+        site.stop.begin();
+        assert_eq!(queued.read(false).await.unwrap().status, 200);
+        assert!(idle.read(false).await.is_none(), "an idle connection ends");
+        assert_eq!(site.stop.open.get(), 1, "the busy one stays");
+        let waits = spawn_local(async move { busy.read(false).await.unwrap() });
+        while !waits.is_finished() {
+            site.pass(20.0);
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let answer = waits.await.unwrap();
+        assert!(answer.closed && matches!(answer.status, 503 | 504), "{answer:?}");
+        until(|| site.stop.open.get() == 0).await;
+        go.set(true);
+    });
+}
+
+/// Guards the process against a panic in one connection's task.
+#[test]
+fn a_panic_in_a_task_ends_nothing_else() {
+    run(async {
+        let (site, at) = open("panic").await;
+        site.host.spawn("a test", async { panic!("on purpose") });
+        until(|| site.host.with(|e| e.counters.panics) == 1).await;
+        assert_eq!(ask(at, "GET", CLIP, &headers(1)).await.status, 200);
+    });
+}
