--- a/tests/model.rs
+++ b/tests/model.rs
@@ -57,7 +57,8 @@
 impl Model {
     fn new() -> Self {
         let mut text = br#"{"classes":[{"name":"clip","deadlineUs":5000000,"promiseUs":600000,"semantics":"pure",
-            "worth":2.0}],"familyInfo":{"mayPassBy":true,"midKind":1,"rootKind":2,"purgeDoneUs":6000000,
+            "worth":2.0},{"name":"post","deadlineUs":3000000,"promiseUs":100000,"semantics":"token",
+            "dedupScope":"all","windowUs":2000000,"worth":3.0}],"familyInfo":{"uncached":[false,true],"mayPassBy":true,"midKind":1,"rootKind":2,"purgeDoneUs":6000000,
             "seatsByZone":[0,1]},"localities":["hub","town"],"locality":"town","skus":["box","parent","origin"],
             "siblings":1,"policyLimits":{"cancelling":true,"connectTimeoutUs":400000,"sendCap":8,
             "streamsPerConn":4}}"#
@@ -90,7 +91,9 @@
                 self.next_id += 1;
                 let give_up_ms = self.clock.now() + 100.0 + f64::from(b % 1_400);
                 let id_text = format!("{:016x}", self.next_id);
+                let class = usize::from(b % 3 == 0);
                 let ask = Ask {
+                    class,
                     id: self.next_id,
                     id_text,
                     object: u64::from(a % 16),
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -133,10 +133,13 @@
     }
 }
 
+/// A frame with its number.
+type Frame = (u64, Vec<u8>);
+
 /// The bulletin: sends each link the frames after the number that it writes.
 pub struct Bulletin {
     pub address: SocketAddr,
-    frames: Rc<RefCell<Vec<(u64, Vec<u8>)>>>,
+    frames: Rc<RefCell<Vec<Frame>>>,
     news: Rc<Notify>,
     cut: Rc<Notify>,
     /// The numbers that links began with.
