--- a/tests/model.rs
+++ b/tests/model.rs
@@ -57,7 +57,7 @@
 impl Model {
     fn new() -> Self {
         let mut text = br#"{"classes":[{"name":"clip","deadlineUs":5000000,"promiseUs":600000,"semantics":"pure",
-            "worth":2.0},{"name":"post","deadlineUs":3000000,"promiseUs":100000,"semantics":"token",
+            "worth":2.0},{"name":"post","deadlineUs":3000000,"promiseUs":2000000,"semantics":"token",
             "dedupScope":"all","windowUs":2000000,"worth":3.0}],"familyInfo":{"uncached":[false,true],"mayPassBy":true,"midKind":1,"rootKind":2,"purgeDoneUs":6000000,
             "seatsByZone":[0,1]},"localities":["hub","town"],"locality":"town","skus":["box","parent","origin"],
             "siblings":1,"policyLimits":{"cancelling":true,"connectTimeoutUs":400000,"sendCap":8,
