--- /dev/null
+++ b/examples/toy_server.rs
@@ -0,0 +1,61 @@
+//! A toy of all that a proxy talks to, at the addresses of `examples/config.json`: two pop caches, a parent, an
+//! origin and the bulletin. Every object is a line of text that names its part and who sent it.
+//!
+//!     cargo run --example toy_server
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Answers each request of a connection with a line of text.
+fn cache(name: &'static str, stream: TcpStream) -> std::io::Result<()> {
+    let mut output = stream.try_clone()?;
+    let mut input = BufReader::new(stream);
+    let mut line = String::new();
+    while input.read_line(&mut line)? > 0 {
+        print!("{name}: {line}");
+        let words: Vec<String> = line.split_whitespace().map(String::from).collect();
+        line.clear();
+        // DROP needs no answer: what it gives up was answered at once.
+        let [verb, id, fields, length] = &words[..] else { continue };
+        if verb != "GET" {
+            continue;
+        }
+        let mut body = vec![0; length.parse::<usize>().unwrap_or(0) + 2];
+        input.read_exact(&mut body)?;
+        let field =
+            |name: &str| fields.split(',').find_map(|f| f.strip_prefix(name)).unwrap_or("-").to_string();
+        let text = format!("object {} part {} from {name}\n", field("k="), field("p="));
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis());
+        write!(output, "{id} ACK sum=toy1,t0={born} {}\r\n{text}\r\n", text.len())?;
+    }
+    Ok(())
+}
+
+/// Tells each second that there is nothing new.
+fn bulletin(mut stream: TcpStream) -> std::io::Result<()> {
+    let mut last = [0; 8];
+    stream.read_exact(&mut last)?;
+    loop {
+        stream.write_all(&[&9u32.to_be_bytes()[..], &last[..], &[0]].concat())?;
+        sleep(Duration::from_secs(1));
+    }
+}
+
+fn main() -> std::io::Result<()> {
+    for (name, port) in [("cache-1", 7101), ("cache-2", 7102), ("parent", 7103), ("origin", 7104)] {
+        let listener = TcpListener::bind(("127.0.0.1", port))?;
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                spawn(move || cache(name, stream));
+            }
+        });
+    }
+    println!("toy caches, parent, origin and bulletin are up");
+    for stream in TcpListener::bind("127.0.0.1:7070")?.incoming() {
+        let stream = stream?;
+        spawn(move || bulletin(stream));
+    }
+    Ok(())
+}
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -25,6 +25,8 @@
 /// Silence on a connection, in milliseconds, after which an attempt that timed out there says that the path is
 /// dead: nothing more goes onto it, and a new connection tells at once whether the machine still answers.
 const SILENCE_MS: f64 = 1_500.0;
+/// Attempts that time out one after another on a connection with nothing read between, which say the same.
+const UNHEARD_MOST: u32 = 2;
 
 /// What the host is to do on sockets.
 #[derive(Clone, Debug, PartialEq)]
@@ -221,7 +223,7 @@
     pub fn answered(&mut self, conn: ConnId, reply: Reply) {
         let now = self.clock.now();
         let Some(c) = self.connections.get_mut(conn) else { return };
-        (c.read_ms, c.used_ms) = (now, now);
+        (c.read_ms, c.used_ms, c.unheard) = (now, now, 0);
         let Some(id) = c.out.remove(&reply.id) else {
             // An answer that crossed a DROP, or to nothing that was asked here: no client gets it.
             c.given_up.remove(&reply.id);
@@ -297,7 +299,8 @@
         self.counters.attempts_timed_out += 1;
         self.detach(id, true);
         if let (Stage::Written(at), Some(c)) = (stage, self.connections.get_mut(conn)) {
-            c.closing |= now - c.read_ms.max(at) > SILENCE_MS;
+            c.unheard += 1;
+            c.closing |= c.unheard >= UNHEARD_MOST || now - c.read_ms.max(at) > SILENCE_MS;
         }
         // One that still waited for its connection has not run.
         let verdict = if stage == Stage::Queued { Verdict::NoConnection } else { Verdict::TimedOut };
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -9,12 +9,13 @@
 use crate::wire::bulletin;
 use crate::wire::client::{accept, Front, Limits, Stop};
 use crate::wire::platform::Platform;
+use crate::wire::vrrp;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::Notify;
 
@@ -62,7 +63,11 @@
 }
 
 /// Serves until SIGTERM or SIGINT, and ends once all that was taken is answered.
-pub async fn serve(config: Config, front: Option<FrontConfig>) -> Result<(), ServeError> {
+pub async fn serve(
+    config: Config,
+    front: Option<FrontConfig>,
+    router: Option<vrrp::Settings>,
+) -> Result<(), ServeError> {
     let clock = Clock::system();
     let extra = front.as_ref().map_or(0, FrontConfig::connections);
     let (engine, env) = engine(&config, &clock, extra)?;
@@ -103,6 +108,12 @@
         let (host, env) = (host.clone(), env.clone());
         move || bulletin::keep(host.clone(), env.clone(), bulletin)
     });
+    let router_stop = Rc::new(Notify::new());
+    if let Some(set) = router {
+        let socket = UdpSocket::bind(set.listen).await;
+        let socket = socket.map_err(|e| ServeError::System(format!("listen on {}", set.listen), e))?;
+        host.spawn("the virtual router", vrrp::run(host.clone(), set, socket, router_stop.clone()));
+    }
     eprintln!("calicobeam: {} serves on {listen}", config.name);
     loop {
         tokio::select! {
@@ -113,6 +124,7 @@
         }
     }
     eprintln!("calicobeam: {} stops", config.name);
+    router_stop.notify_one();
     tokio::time::sleep(span(ACCEPT_ON_MS)).await;
     closing.notify_one();
     second.notify_one();
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,9 +1,10 @@
 //! The edge proxy's command line.
 
 use argh::FromArgs;
-use calicobeam::lifecycle::config::Config;
+use calicobeam::lifecycle::config::{read_json, Config, ConfigError};
 use calicobeam::lifecycle::front::FrontConfig;
 use calicobeam::lifecycle::serve;
+use calicobeam::wire::vrrp;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -32,6 +33,9 @@
     /// the file of the second front, signed URLs; without it that front is off
     #[argh(option)]
     front: Option<PathBuf>,
+    /// the file of a virtual router (VRRP); without it no packet is sent
+    #[argh(option)]
+    vrrp: Option<PathBuf>,
 }
 
 /// Print the version.
@@ -49,6 +53,9 @@
     /// the file of the second front, signed URLs
     #[argh(option)]
     front: Option<PathBuf>,
+    /// the file of a virtual router (VRRP)
+    #[argh(option)]
+    vrrp: Option<PathBuf>,
 }
 
 fn read(path: Option<PathBuf>) -> Result<Config, String> {
@@ -62,21 +69,30 @@
     path.map(read).transpose()
 }
 
+fn read_vrrp(path: Option<PathBuf>) -> Result<Option<vrrp::Settings>, String> {
+    let Some(path) = path else { return Ok(None) };
+    let set: vrrp::Settings = read_json(&path).map_err(|e| e.to_string())?;
+    set.check().map_err(|(field, why)| ConfigError::Field { path, field, why }.to_string())?;
+    Ok(Some(set))
+}
+
 fn run() -> Result<(), String> {
     match argh::from_env::<Arguments>().command {
         Command::Version(_) => println!("calicobeam {}", env!("CARGO_PKG_VERSION")),
         Command::Check(check) => {
             let config = read(check.config)?;
             read_front(check.front, &config)?;
+            read_vrrp(check.vrrp)?;
             println!("calicobeam: the configuration of {:?} is in order", config.name);
         }
         Command::Serve(arguments) => {
             let config = read(arguments.config)?;
             let front = read_front(arguments.front, &config)?;
+            let router = read_vrrp(arguments.vrrp)?;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
             let tasks = tokio::task::LocalSet::new();
-            let served = tasks.block_on(&runtime, serve::serve(config, front));
+            let served = tasks.block_on(&runtime, serve::serve(config, front, router));
             return served.map_err(|e| e.to_string());
         }
     }
--- a/src/memory/connections.rs
+++ b/src/memory/connections.rs
@@ -30,6 +30,8 @@
     given_up_order: VecDeque<RequestId>,
     /// When something was last written or read.
     pub used_ms: f64,
+    /// Attempts that timed out here since something was last read.
+    pub unheard: u32,
     /// When something was last read.
     pub read_ms: f64,
 }
--- a/src/memory/counters.rs
+++ b/src/memory/counters.rs
@@ -80,6 +80,14 @@
     bulletin_faults,
     /// Events of the bulletin.
     bulletin_events,
+    /// VRRP advertisements sent.
+    vrrp_sent,
+    /// VRRP advertisements of peers.
+    vrrp_received,
+    /// VRRP messages of peers that can't be read.
+    vrrp_malformed,
+    /// Changes of the VRRP state.
+    vrrp_changes,
     /// Tasks that ended in a panic.
     panics,
 }
--- a/src/wire/bulletin.rs
+++ b/src/wire/bulletin.rs
@@ -13,7 +13,7 @@
 use tokio_util::codec::Framed;
 
 /// Silence that says the link is broken, in milliseconds: a frame comes each second.
-pub const SILENCE_MS: f64 = 2_200.0;
+pub const SILENCE_MS: f64 = 1_800.0;
 /// How long a connect to the bulletin may take, in milliseconds.
 const CONNECT_MS: f64 = 700.0;
 /// The wait between links that fail at once, in milliseconds.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -10,6 +10,7 @@
 pub mod lines;
 pub mod platform;
 pub mod signed;
+pub mod vrrp;
 
 use thiserror::Error;
 
--- /dev/null
+++ b/tests/process.rs
@@ -0,0 +1,180 @@
+//! The program itself: its command line, its signals, its end.
+
+mod stand_ins;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_calicobeam");
+
+fn example() -> String {
+    std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json")).unwrap()
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = stand_ins::folder("process").join(name);
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn check(arguments: &[&str]) -> Output {
+    Command::new(PROGRAM).arg("check").args(arguments).env_remove("NODE_CONFIG").output().unwrap()
+}
+
+#[test]
+fn the_example_is_in_order_and_faults_are_named_by_field() {
+    let good = file("good.json", &example());
+    let output = check(&["--config", good.to_str().unwrap()]);
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let cases = [
+        ("\"listen\": \"127.0.0.1:5050\"", "\"listen\": \"here\"", "`listen`"),
+        ("\"listen\": \"127.0.0.1:5050\"", "\"listen\": \"0.0.0.0:5050\"", "`listen`"),
+        ("\"listen\": \"127.0.0.1:5050\",", "", "listen"),
+        ("\"bulletin\": \"127.0.0.1:7070\"", "\"bulletin\": \"127.0.0.1\"", "`bulletin`"),
+        ("8c1f30d27a5be964", "not hex", "`seed`"),
+        ("\"sockets\": 1024", "\"sockets\": 3", "`limits.sockets`"),
+        ("\"locality\": \"town\"", "\"locality\": \"nowhere\"", "`locality`"),
+        ("127.0.0.1:7101", "nowhere", "endpoint"),
+        ("\"Ready\"", "\"Asleep\"", "state"),
+        ("\"deadlineUs\": 5000000", "\"deadlineUs\": 0", "deadlineUs"),
+        ("{\n  \"name\"", "{{", "bad.json"),
+    ];
+    for (from, to, field) in cases {
+        assert!(example().contains(from), "{from}");
+        let bad = file("bad.json", &example().replacen(from, to, 1));
+        let output = check(&["--config", bad.to_str().unwrap()]);
+        let message = String::from_utf8_lossy(&output.stderr).to_string();
+        assert!(!output.status.success() && message.contains(field), "{to}: {message}");
+    }
+    let message = String::from_utf8_lossy(&check(&[]).stderr).to_string();
+    assert!(message.contains("NODE_CONFIG"), "{message}");
+}
+
+#[test]
+fn the_second_fronts_file_is_checked_too() {
+    let config = file("front-config.json", &example());
+    let config = config.to_str().unwrap();
+    let k = "AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8";
+    file("keys.json", &format!("{{\"keys\":[{{\"kty\":\"oct\",\"kid\":\"a\",\"k\":\"{k}\"}}]}}"));
+    file("no-keys.json", "{\"keys\":[]}");
+    let shipped = include_str!("../deploy/signed-urls.json").replace("signed-urls-keys.json", "keys.json");
+    let good = file("front.json", &shipped);
+    let output = check(&["--config", config, "--front", good.to_str().unwrap()]);
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let cases = [
+        ("127.0.0.1:8080", "x", "`listen`"),
+        ("keys.json", "no-keys.json", "`keys`"),
+        ("keys.json", "missing.json", "`keys`"),
+        ("marktplein-links", "", "`issuer`"),
+        ("\"https\"", "\"ftp\"", "`scheme`"),
+        ("2000", "-1", "`leeway_ms`"),
+        ("\"connections\": 128", "\"connections\": 1000", "`limits.connections`"),
+        ("\"leeway_ms\"", "\"leniency\"", "leniency"),
+    ];
+    for (from, to, field) in cases {
+        let bad = file("bad-front.json", &shipped.replacen(from, to, 1));
+        let output = check(&["--config", config, "--front", bad.to_str().unwrap()]);
+        let message = String::from_utf8_lossy(&output.stderr).to_string();
+        assert!(!output.status.success() && message.contains(field), "{to}: {message}");
+    }
+}
+
+/// A running proxy; it is killed if a test ends early.
+struct Running {
+    child: Child,
+    errors: BufReader<std::process::ChildStderr>,
+    port: u16,
+}
+
+impl Running {
+    /// Starts one on a free port, under a limit on descriptors. Another process may take the port between the
+    /// look and the start, so there are further tries.
+    fn start(name: &str, descriptors: u32) -> Self {
+        (0..10).find_map(|_| Self::try_start(name, descriptors)).expect("a free port")
+    }
+
+    fn try_start(name: &str, descriptors: u32) -> Option<Self> {
+        let port = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
+        let text = example().replace("127.0.0.1:5050", &format!("127.0.0.1:{port}"));
+        let config = file(name, &text);
+        let script = format!("ulimit -n {descriptors}; exec \"$0\" serve --config \"$1\"");
+        let mut child = Command::new("sh")
+            .args(["-c", &script, PROGRAM, config.to_str().unwrap()])
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut errors = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        errors.read_line(&mut line).unwrap();
+        let running = Self { child, errors, port };
+        line.contains("serves on").then_some(running)
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    fn connect(&self) -> TcpStream {
+        TcpStream::connect(("127.0.0.1", self.port)).unwrap()
+    }
+
+    fn alive(&self, stream: &mut TcpStream) -> String {
+        stream.write_all(b"GET /alive HTTP/1.1\r\nHost: o\r\n\r\n").unwrap();
+        let mut answer = [0; 64];
+        let length = stream.read(&mut answer).unwrap();
+        String::from_utf8_lossy(&answer[..length]).to_string()
+    }
+
+    fn until(&mut self, text: &str) -> String {
+        let mut line = String::new();
+        while !line.contains(text) {
+            line.clear();
+            assert!(self.errors.read_line(&mut line).unwrap() > 0, "no line with {text}");
+        }
+        line
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[test]
+fn signals_print_counters_and_end_the_process_well() {
+    let mut proxy = Running::start("signals.json", 256);
+    let mut client = proxy.connect();
+    assert!(proxy.alive(&mut client).starts_with("HTTP/1.1 200 OK"));
+    proxy.signal("-USR1");
+    assert_eq!(proxy.until("clients").trim(), "clients 1");
+    proxy.signal("-HUP");
+    proxy.signal("-TERM");
+    proxy.until("stops");
+    // New connections are still taken for a while.
+    assert!(proxy.alive(&mut proxy.connect()).starts_with("HTTP/1.1 200 OK"));
+    assert_eq!(proxy.until("clients").trim(), "clients 2");
+    assert_eq!(proxy.child.wait().unwrap().code(), Some(0));
+}
+
+/// Guards the process against running out of descriptors: clients wait, and are served once there is room.
+#[test]
+fn want_of_descriptors_ends_nothing() {
+    let mut proxy = Running::start("descriptors.json", 24);
+    let mut held: Vec<TcpStream> = (0..60).map(|_| proxy.connect()).collect();
+    // The first is served; the last waits in the machine's queue until others leave.
+    assert!(proxy.alive(&mut held[0]).starts_with("HTTP/1.1 200 OK"));
+    let mut last = held.pop().unwrap();
+    drop(held);
+    assert!(proxy.alive(&mut last).starts_with("HTTP/1.1 200 OK"));
+    proxy.signal("-USR1");
+    let failures = proxy.until("accept_failures");
+    assert_ne!(failures.trim(), "accept_failures 0");
+    proxy.signal("-TERM");
+    proxy.until("stops");
+    assert_eq!(proxy.child.wait().unwrap().code(), Some(0));
+}
--- /dev/null
+++ b/tests/vrrp.rs
@@ -0,0 +1,198 @@
+//! VRRP: its messages, its state machine against a model, and two proxies on loopback.
+
+mod stand_ins;
+
+use calicobeam::wire::vrrp::{run as run_router, Advertisement, BadMessage, Machine, Settings, State, OWNER};
+use proptest::prelude::*;
+use stand_ins::{run, until, Site};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+fn at(host: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, host], 5_100))
+}
+
+fn settings(host: u8, priority: u8, preempt: bool) -> Settings {
+    let (listen, peers, addresses) = (at(host), vec![at(9)], vec![Ipv4Addr::new(127, 1, 0, 1)]);
+    Settings { listen, peers, vrid: 7, priority, interval_cs: 100, preempt, addresses }
+}
+
+fn ad(priority: u8, interval_cs: u16) -> Advertisement {
+    Advertisement { vrid: 7, priority, interval_cs, addresses: vec![Ipv4Addr::new(127, 1, 0, 1)] }
+}
+
+#[test]
+fn messages_are_those_of_the_rfc_and_faults_are_told() {
+    let bytes = ad(100, 100).encode();
+    // 0x3107 + 0x6401 + 0x0064 + 0x7f01 + 0x0001 is 0x1146e, folded 0x146f, and its complement 0xeb90.
+    assert_eq!(bytes, [0x31, 7, 100, 1, 0, 100, 0xeb, 0x90, 127, 1, 0, 1]);
+    assert_eq!(Advertisement::decode(&bytes), Ok(ad(100, 100)));
+    let changed = |place: usize, value: u8| {
+        let mut bytes = bytes.clone();
+        bytes[place] = value;
+        Advertisement::decode(&bytes)
+    };
+    assert_eq!(changed(0, 0x21), Err(BadMessage::Version));
+    assert_eq!(changed(2, 101), Err(BadMessage::Checksum));
+    assert_eq!(changed(3, 2), Err(BadMessage::Length));
+    assert_eq!(Advertisement::decode(&bytes[..7]), Err(BadMessage::Length));
+    assert_eq!(Advertisement::decode(&ad(100, 0).encode()), Err(BadMessage::Interval));
+}
+
+#[test]
+fn a_backup_takes_over_after_three_intervals_and_its_skew() {
+    let mut machine = Machine::new(settings(1, 128, true));
+    assert_eq!(machine.start(0.0), None);
+    assert_eq!((machine.state(), machine.due_ms()), (State::Backup, 3_500.0));
+    // A higher one is heard: its interval counts from now on.
+    assert_eq!(machine.receive(1_000.0, at(2), &ad(200, 200)), None);
+    assert_eq!(machine.due_ms(), 1_000.0 + 6_000.0 + 1_000.0);
+    // It says that it stops: only the skew is waited for.
+    assert_eq!(machine.receive(2_000.0, at(2), &ad(0, 200)), None);
+    assert_eq!(machine.due_ms(), 3_000.0);
+    assert_eq!(machine.tick(2_999.0), None);
+    assert_eq!(machine.tick(3_000.0).map(|ad| ad.priority), Some(128));
+    assert_eq!((machine.state(), machine.due_ms()), (State::Active, 4_000.0));
+    // A lower one is told at once who is active; a higher one takes over.
+    assert!(machine.receive(3_100.0, at(2), &ad(100, 100)).is_some());
+    assert_eq!(machine.receive(3_200.0, at(2), &ad(129, 100)), None);
+    assert_eq!(machine.state(), State::Backup);
+    assert_eq!(machine.stop(), None);
+}
+
+#[test]
+fn equal_priorities_are_decided_by_address_and_preemption_can_be_off() {
+    let mut owner = Machine::new(settings(1, OWNER, true));
+    assert!(owner.start(0.0).is_some());
+    assert_eq!(owner.state(), State::Active);
+    assert_eq!(owner.stop().map(|ad| ad.priority), Some(0));
+    let mut machine = Machine::new(settings(3, 128, true));
+    machine.start(0.0);
+    machine.tick(3_500.0);
+    assert!(machine.receive(3_600.0, at(2), &ad(128, 100)).is_some(), "the lower address gives way");
+    assert_eq!(machine.receive(3_700.0, at(4), &ad(128, 100)), None);
+    assert_eq!(machine.state(), State::Backup);
+    let mut meek = Machine::new(settings(1, 200, false));
+    meek.start(0.0);
+    meek.receive(3_000.0, at(2), &ad(1, 100));
+    assert!(meek.due_ms() > 6_000.0, "without preemption a lower one stays active");
+    let mut other = ad(255, 100);
+    other.vrid = 8;
+    assert_eq!(meek.receive(3_100.0, at(2), &other), None);
+}
+
+/// The model: section 6.4 as a table of what each state does with each event.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Model {
+    state: State,
+    down_at: f64,
+    send_at: f64,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_machine_does_what_the_table_says(
+        priority in 1u8..=255, preempt: bool,
+        steps in prop::collection::vec((0u8..6, 0u8..=255, 1u16..=4_095, 0f64..3_000.0, 1u8..5), 1..80),
+    ) {
+        let mut machine = Machine::new(settings(3, priority, preempt));
+        let (mut now, mut model) = (0.0, Model { state: State::Initialize, down_at: 0.0, send_at: 0.0 });
+        let skew = |interval: f64| (256.0 - f64::from(priority)) * interval / 256.0;
+        let mut interval = 1_000.0;
+        for (kind, theirs, interval_cs, ms, host) in steps {
+            now += ms;
+            let mut sent = None;
+            let got = match kind {
+                0 => {
+                    if model.state == State::Initialize && priority == OWNER {
+                        model = Model { state: State::Active, send_at: now + 1_000.0, ..model };
+                        sent = Some(priority);
+                    } else if model.state == State::Initialize {
+                        interval = 1_000.0;
+                        model = Model { state: State::Backup, down_at: now + 3.0 * interval + skew(interval), ..model };
+                    }
+                    machine.start(now)
+                }
+                1 => {
+                    sent = (model.state == State::Active).then_some(0);
+                    model.state = State::Initialize;
+                    machine.stop()
+                }
+                2 | 3 => {
+                    let due = match model.state {
+                        State::Initialize => false,
+                        State::Backup => now >= model.down_at,
+                        State::Active => now >= model.send_at,
+                    };
+                    if due {
+                        model = Model { state: State::Active, send_at: now + 1_000.0, ..model };
+                        sent = Some(priority);
+                    }
+                    machine.tick(now)
+                }
+                _ => {
+                    let wins = theirs > priority || (theirs == priority && host > 3);
+                    match model.state {
+                        State::Initialize => {}
+                        State::Backup if theirs == 0 => model.down_at = now + skew(interval),
+                        State::Backup if preempt && theirs < priority => {}
+                        State::Active if theirs == 0 || !wins => {
+                            model.send_at = now + 1_000.0;
+                            sent = Some(priority);
+                        }
+                        State::Backup | State::Active => {
+                            interval = f64::from(interval_cs) * 10.0;
+                            model = Model { state: State::Backup, down_at: now + 3.0 * interval + skew(interval), ..model };
+                        }
+                    }
+                    machine.receive(now, at(host), &ad(theirs, interval_cs))
+                }
+            };
+            prop_assert_eq!(got.map(|ad| ad.priority), sent);
+            prop_assert_eq!(machine.state(), model.state);
+            let due = match model.state {
+                State::Initialize => f64::INFINITY,
+                State::Backup => model.down_at,
+                State::Active => model.send_at,
+            };
+            prop_assert!(machine.due_ms() == due || (machine.due_ms() - due).abs() < 1e-6);
+        }
+    }
+
+    #[test]
+    fn no_bytes_are_too_strange(bytes in prop::collection::vec(any::<u8>(), 0..64)) {
+        if let Ok(ad) = Advertisement::decode(&bytes) {
+            prop_assert_eq!(Advertisement::decode(&ad.encode()), Ok(ad));
+        }
+    }
+}
+
+/// Two proxies on loopback: the higher becomes active, and hands over at once when it stops.
+#[test]
+fn the_state_is_handed_over_on_a_stop() {
+    run(async {
+        let site = Site::start("vrrp").await;
+        let sockets =
+            [UdpSocket::bind("127.0.0.1:0").await.unwrap(), UdpSocket::bind("127.0.0.1:0").await.unwrap()];
+        let at: Vec<SocketAddr> = sockets.iter().map(|s| s.local_addr().unwrap()).collect();
+        let stops = [Rc::new(Notify::new()), Rc::new(Notify::new())];
+        for (k, socket) in sockets.into_iter().enumerate() {
+            let (listen, peers) = (at[k], vec![at[1 - k]]);
+            let set = Settings { listen, peers, ..settings(1, [OWNER, 100][k], true) };
+            spawn_local(run_router(site.host.clone(), set, socket, stops[k].clone()));
+        }
+        let changes = || site.host.with(|e| e.counters.vrrp_changes);
+        until(|| changes() == 2 && site.host.with(|e| e.counters.vrrp_received) > 0).await;
+        stops[0].notify_one();
+        until(|| site.host.with(|e| e.counters.vrrp_received) >= 2).await;
+        assert_eq!(changes(), 3, "the backup waits for its skew");
+        site.pass(700.0);
+        // The timer of the backup's task runs by real time; a message makes it look at the clock.
+        until(|| changes() == 4).await;
+    });
+}
