Signed token renewal by cookie (RFC 9246: cdnistt, cdniets, cdnistd)

Before, a token with these claims was refused. The renewed token has the same claims and a later end, and opens what the first one opened; across a rotation it is signed by a present key.

--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -63,6 +63,8 @@
     pub if_range: Option<String>,
     /// `If-None-Match`, as it came.
     pub if_none_match: Option<String>,
+    /// A cookie to be set with an answer that gives something.
+    pub set_cookie: Option<String>,
     /// `If-Match`, as it came.
     pub if_match: Option<String>,
 }
--- a/src/wire/keys.rs
+++ b/src/wire/keys.rs
@@ -1,6 +1,6 @@
 //! The keys that links are signed with: a JWK set (RFC 7517), and what a rotation leaves behind.
 
-use jsonwebtoken::{Algorithm, DecodingKey};
+use jsonwebtoken::{Algorithm, DecodingKey, EncodingKey};
 use serde::Deserialize;
 use std::collections::HashMap;
 use thiserror::Error;
@@ -10,6 +10,14 @@
 /// The shortest secret, in bytes: RFC 7518 asks as many of HS256 as its hash is long.
 const SECRET_LEAST: usize = 32;
 
+/// What stands before, and between, the numbers of a P-256 key in PKCS #8 (RFC 5208, RFC 5915).
+const P256_HEAD: [u8; 36] = [
+    0x30, 0x81, 0x87, 0x02, 0x01, 0x00, 0x30, 0x13, 0x06, 0x07, 0x2a, 0x86, 0x48, 0xce, 0x3d, 0x02, 0x01,
+    0x06, 0x08, 0x2a, 0x86, 0x48, 0xce, 0x3d, 0x03, 0x01, 0x07, 0x04, 0x6d, 0x30, 0x6b, 0x02, 0x01, 0x01,
+    0x04, 0x20,
+];
+const P256_MIDDLE: [u8; 6] = [0xa1, 0x44, 0x03, 0x42, 0x00, 0x04];
+
 /// What is wrong with a set of keys.
 #[derive(Debug, Error, PartialEq, Eq)]
 pub enum KeysError {
@@ -29,6 +37,8 @@
 pub struct Key {
     /// What signatures are checked with.
     pub key: DecodingKey,
+    /// What renewed tokens are signed with, where the set holds it.
+    pub signing: Option<EncodingKey>,
     /// How.
     pub algorithm: Algorithm,
     material: Vec<u8>,
@@ -57,6 +67,7 @@
     k: Option<String>,
     x: Option<String>,
     y: Option<String>,
+    d: Option<String>,
 }
 
 /// Bytes of unpadded base64url, in its one spelling.
@@ -105,7 +116,8 @@
             if secret.len() < SECRET_LEAST {
                 return Err(fault("`k` is too short"));
             }
-            Key { key: DecodingKey::from_secret(&secret), algorithm, material: secret }
+            let signing = Some(EncodingKey::from_secret(&secret));
+            Key { key: DecodingKey::from_secret(&secret), signing, algorithm, material: secret }
         } else {
             let (x, y) = (part(&self.x, "`x` is not base64url")?, part(&self.y, "`y` is not base64url")?);
             if x.len() != 32 || y.len() != 32 {
@@ -113,7 +125,14 @@
             }
             let (tx, ty) = (self.x.as_deref().unwrap_or_default(), self.y.as_deref().unwrap_or_default());
             let key = DecodingKey::from_ec_components(tx, ty).map_err(|_| fault("not a point"))?;
-            Key { key, algorithm, material: [x, y].concat() }
+            let signing = match &self.d {
+                None => None,
+                Some(text) => {
+                    let d = base64url(text).filter(|d| d.len() == 32).ok_or(fault("`d` has not 32 bytes"))?;
+                    Some(EncodingKey::from_ec_der(&[&P256_HEAD[..], &d, &P256_MIDDLE, &x, &y].concat()))
+                }
+            };
+            Key { key, signing, algorithm, material: [x, y].concat() }
         };
         Ok(Some((kid, key)))
     }
@@ -167,6 +186,19 @@
         self.old.drain(..most);
     }
 
+    /// What a renewed token is signed with, and that key's name: the present key of the name, or, where that name
+    /// was rotated out, the first present one that can sign. Guards a clip that is watched across a rotation.
+    pub fn signer<'a>(&'a self, kid: &'a str) -> Option<(&'a str, &'a Key)> {
+        let able = |key: &Key| key.signing.is_some();
+        match self.keys.get(kid) {
+            Some(key) => able(key).then_some((kid, key)),
+            None => {
+                let all = self.keys.iter().filter(|(_, key)| able(key));
+                all.min_by_key(|(name, _)| *name).map(|(name, key)| (name.as_str(), key))
+            }
+        }
+    }
+
     /// The keys of a name that are good at `now`, that of the present set first.
     pub fn find<'a>(&'a self, kid: &'a str, now: f64) -> impl Iterator<Item = &'a Key> {
         let old = self.old.iter().filter(move |(k, _, until)| k == kid && now < *until);
@@ -216,6 +248,7 @@
         assert_eq!(ring.find("a", 5_999.0).count(), 1);
         assert_eq!(ring.find("a", 6_000.0).count(), 0);
         assert_eq!(ring.find("b", 9_000.0).count(), 1);
+        assert_eq!(ring.signer("a").map(|(kid, _)| kid), Some("b"), "what is renewed outlives the rotation");
         // The same name with another key: both are good for a while.
         ring.rotate(set("b", &other).unwrap(), 9_000.0);
         assert_eq!((ring.find("b", 9_500.0).count(), ring.find("b", 10_000.0).count()), (2, 1));
--- a/src/wire/signed.rs
+++ b/src/wire/signed.rs
@@ -6,16 +6,17 @@
 
 use super::client::{Context, Front, Intake, Limits};
 use super::http::{HttpAnswer, HttpRequest};
-use super::keys::KeyRing;
+use super::keys::{Key, KeyRing};
 use super::lines::hex16;
 use super::platform::bare_tag;
 use crate::engine::host::Host;
 use crate::memory::requests::{Ask, Final, NotTaken};
 use crate::settings::Env;
-use jsonwebtoken::{decode, decode_header, Validation};
+use jsonwebtoken::{decode, decode_header, encode, Header, Validation};
 use regex::RegexBuilder;
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
+use simd_json::prelude::*;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -26,7 +27,13 @@
 /// The most memory that a token's regular expression may take, in bytes.
 const REGEX_MOST: usize = 65_536;
 /// Claims that this front understands and checks.
-const UNDERSTOOD: [&str; 7] = ["iss", "exp", "nbf", "iat", "sub", "cdniv", "cdniuc"];
+const UNDERSTOOD: [&str; 10] =
+    ["iss", "exp", "nbf", "iat", "sub", "cdniv", "cdniuc", "cdniets", "cdnistt", "cdnistd"];
+/// The longest time that a renewed token may be good for, in seconds.
+const RENEWAL_MOST: f64 = 86_400.0;
+/// The transports of renewed tokens: none, and a cookie.
+const NO_RENEWAL: f64 = 0.0;
+const BY_COOKIE: f64 = 1.0;
 
 /// Why a token opens nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,9 +65,9 @@
     cdnicrit: Option<String>,
     cdniip: Option<Present>,
     cdniuc: Option<String>,
-    cdniets: Option<Present>,
-    cdnistt: Option<Present>,
-    cdnistd: Option<Present>,
+    cdniets: Option<f64>,
+    cdnistt: Option<f64>,
+    cdnistd: Option<f64>,
 }
 
 /// A value of any type, of which only its presence matters.
@@ -74,6 +81,27 @@
     }
 }
 
+/// A token that is to take another's place, good for some seconds more.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Renewal {
+    /// The token.
+    pub token: String,
+    /// For how many seconds it is good.
+    pub seconds: f64,
+    /// How many steps of the path its cookie is for; 0 is all paths.
+    pub depth: usize,
+}
+
+impl Renewal {
+    /// The cookie that carries it to a client that asked for a path.
+    fn cookie(&self, path: &str, secure: bool) -> String {
+        let steps: Vec<&str> = path.split('/').skip(1).take(self.depth).collect();
+        let secure = if secure { "; Secure" } else { "" };
+        let (steps, seconds) = (steps.join("/"), self.seconds.floor());
+        format!("{PACKAGE}={}; Path=/{steps}; Max-Age={seconds}; HttpOnly{secure}", self.token)
+    }
+}
+
 /// What tokens are checked against.
 #[derive(Debug)]
 pub struct Verifier {
@@ -86,11 +114,18 @@
 }
 
 impl Verifier {
-    /// Whether a token opens `uri` at `now`. `also` is a URI that the same token must not open.
-    pub fn check(&self, token: &str, uri: &str, also: Option<&str>, now: f64) -> Result<(), Denied> {
+    /// Whether a token opens `uri` at `now`, and what renews it, if it asks for that. `also` is a URI that the
+    /// same token must not open.
+    pub fn check(
+        &self,
+        token: &str,
+        uri: &str,
+        also: Option<&str>,
+        now: f64,
+    ) -> Result<Option<Renewal>, Denied> {
         let mut parts = token.split('.');
         let shape = (parts.next(), parts.next(), parts.next(), parts.next());
-        let (Some(head), Some(_), Some(_), None) = shape else { return Err(Denied::Malformed) };
+        let (Some(head), Some(payload), Some(_), None) = shape else { return Err(Denied::Malformed) };
         // A header that names what must be understood is refused, as RFC 7515 asks: nothing is understood.
         if header_is_critical(head)? {
             return Err(Denied::Forbidden);
@@ -98,14 +133,24 @@
         let header = decode_header(token).map_err(|_| Denied::Forbidden)?;
         let kid = header.kid.ok_or(Denied::Forbidden)?;
         // Guards against a token that names its own way of being checked: the key alone says how.
-        let claims = self.keys.find(&kid, now).find_map(|key| {
+        let found = self.keys.find(&kid, now).find_map(|key| {
             let mut how = Validation::new(key.algorithm);
             (how.validate_exp, how.validate_nbf, how.validate_aud) = (false, false, false);
             how.required_spec_claims.clear();
             let same = header.alg == key.algorithm;
             same.then(|| decode::<Claims>(token, &key.key, &how).ok()).flatten()
         });
-        self.check_claims(&claims.ok_or(Denied::Forbidden)?.claims, uri, also, now)
+        let claims = found.ok_or(Denied::Forbidden)?.claims;
+        self.check_claims(&claims, uri, also, now)?;
+        match claims.cdnistt {
+            None | Some(NO_RENEWAL) => Ok(None),
+            Some(BY_COOKIE) => {
+                let renewal =
+                    self.keys.signer(&kid).and_then(|(kid, key)| renew(payload, &claims, key, kid, now));
+                renewal.ok_or(Denied::Forbidden).map(Some)
+            }
+            Some(_) => Err(Denied::Forbidden),
+        }
     }
 
     fn check_claims(&self, claims: &Claims, uri: &str, also: Option<&str>, now: f64) -> Result<(), Denied> {
@@ -118,10 +163,8 @@
         if critical.into_iter().any(|name| !UNDERSTOOD.contains(&name)) {
             return no;
         }
-        // A nonce, an audience, an address and the renewal of tokens can't be honoured here: RFC 9246 has what
-        // can't be checked refused, not skipped.
-        let unchecked =
-            [&claims.aud, &claims.jti, &claims.cdniip, &claims.cdniets, &claims.cdnistt, &claims.cdnistd];
+        // A nonce, an audience and an address can't be checked here: RFC 9246 has them refused, not skipped.
+        let unchecked = [&claims.aud, &claims.jti, &claims.cdniip];
         if unchecked.iter().any(|claim| claim.is_some()) || claims.iss.as_deref() != Some(&self.issuer) {
             return no;
         }
@@ -141,6 +184,21 @@
     }
 }
 
+/// The token that takes another's place: the same claims, with a later end (RFC 9246, signed token renewal).
+fn renew(payload: &str, claims: &Claims, key: &Key, kid: &str, now: f64) -> Option<Renewal> {
+    let seconds = claims.cdniets.filter(|s| (1.0..=RENEWAL_MOST).contains(s))?;
+    let depth = claims.cdnistd.unwrap_or(0.0);
+    if !(0.0..=16.0).contains(&depth) || depth.fract() != 0.0 {
+        return None;
+    }
+    let mut text = super::keys::base64url(payload)?;
+    let mut body = simd_json::to_owned_value(&mut text).ok()?;
+    body.try_insert("exp", (now / 1_000.0 + seconds).floor() as u64);
+    let header = Header { kid: Some(kid.to_string()), ..Header::new(key.algorithm) };
+    let token = encode(&header, &body, key.signing.as_ref()?).ok()?;
+    Some(Renewal { token, seconds, depth: depth as usize })
+}
+
 fn header_is_critical(head: &str) -> Result<bool, Denied> {
     #[derive(Deserialize)]
     struct Head {
@@ -255,7 +313,8 @@
         // Guards against parameters that the signature doesn't cover: there is the token, and no other.
         let token = match query.strip_prefix(PACKAGE).and_then(|rest| rest.strip_prefix('=')) {
             Some(token) if !token.contains(['&', ';', '%', '?', '#']) => token,
-            None if query.is_empty() => return Err(HttpAnswer::status(403)),
+            // Without the parameter a renewed token may have come as a cookie.
+            None if query.is_empty() => cookie(request)?,
             _ => return Err(bad()),
         };
         let host = request.single("host").map_err(status(400))?.unwrap_or_default().to_ascii_lowercase();
@@ -264,13 +323,14 @@
         let other = Link { group: (link.group + 1) % 256, ..link.clone() }.path(&self.env);
         let other = format!("{}://{host}{other}", self.scheme);
         let checked = self.verifier.borrow().check(token, &uri, Some(&other), now);
-        checked.map_err(|denied| HttpAnswer::status(denied.status()))?;
+        let renewal = checked.map_err(|denied| HttpAnswer::status(denied.status()))?;
         let header = |name| request.single(name).map_err(status(400));
         let if_none_match = header("if-none-match")?.map(String::from);
         let context = Context {
             head_only: request.method == "HEAD",
             range: header("range")?.filter(|_| request.method == "GET").map(String::from),
             if_range: header("if-range")?.map(String::from),
+            set_cookie: renewal.map(|renewal| renewal.cookie(path, self.scheme == "https")),
             if_match: header("if-match")?.map(String::from),
             if_none_match: if_none_match.clone(),
         };
@@ -296,6 +356,18 @@
     }
 }
 
+/// The token of a request's cookie.
+fn cookie(request: &HttpRequest) -> Result<&str, HttpAnswer> {
+    let pairs = request.headers.iter().filter(|(name, _)| name == "cookie").flat_map(|(_, v)| v.split(';'));
+    let mut tokens = pairs.filter_map(|pair| pair.trim().strip_prefix(PACKAGE)?.strip_prefix('='));
+    match (tokens.next(), tokens.next()) {
+        (Some(token), None) => Ok(token),
+        (None, _) => Err(HttpAnswer::status(403)),
+        // Which of two would count is a guess that an attacker could make, too.
+        (Some(_), Some(_)) => Err(HttpAnswer::status(400)),
+    }
+}
+
 /// Whether a list of tags holds a tag; weak ones count where `weak` says so.
 fn lists(list: &str, tag: &str, weak: bool) -> bool {
     list.trim() == "*"
@@ -396,6 +468,10 @@
             Final::Failed { .. } => HttpAnswer::status(502),
         };
         worded.head_only = context.head_only;
+        if let Some(cookie) = context.set_cookie.as_ref().filter(|_| matches!(worded.status, 200 | 206 | 304))
+        {
+            worded = worded.with("Set-Cookie", cookie.clone());
+        }
         // What was given for a token is nobody else's.
         worded.with("Cache-Control", "private")
     }
