--- a/tests/model.rs
+++ b/tests/model.rs
@@ -1,16 +1,19 @@
 //! The engine and its connections against a model, by random steps on a clock that the test sets.
 
+use bytes::BytesMut;
 use calicobeam::clock::Clock;
 use calicobeam::engine::{Effect, Engine, EngineBounds, Next};
 use calicobeam::memory::connections::{Bounds, ConnId};
 use calicobeam::memory::requests::{Ask, Final};
 use calicobeam::settings::{Env, Row};
-use calicobeam::wire::frames::{News, Numbered, Target};
-use calicobeam::wire::lines::{Command, Reply, Word};
+use calicobeam::wire::frames::{FrameCodec, News, Numbered, Target, FRAME_MOST};
+use calicobeam::wire::http::{HttpCodec, Phase};
+use calicobeam::wire::lines::{Command, LineCodec, Reply, Word, LINE_MOST};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use tokio_util::codec::Decoder;
 
 const START: f64 = 1_764_576_000_000.0;
 
@@ -249,3 +252,74 @@
         prop_assert!(model.owed.is_empty());
     }
 }
+
+/// A request's bytes, with the lengths of its head and body.
+fn request_bytes(body: usize, pad: usize) -> (Vec<u8>, usize) {
+    let head = format!("PUT /{} HTTP/1.1\r\nHost: o\r\nContent-Length: {body}\r\n\r\n", "p".repeat(pad));
+    let length = head.len();
+    ([head.into_bytes(), vec![b'b'; body]].concat(), length)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// A client's connection against a model that knows only how far into which request the bytes have come.
+    #[test]
+    fn a_clients_connection_is_in_the_state_that_its_bytes_say(
+        requests in prop::collection::vec((0usize..300, 0usize..60), 1..6),
+        cuts in prop::collection::vec((1usize..120, 0f64..50.0), 1..80),
+    ) {
+        let clock = Clock::manual(START);
+        let mut codec = HttpCodec::new(clock.clone(), 1_000);
+        let (mut stream, mut buf) = (Vec::new(), BytesMut::new());
+        // Where each request begins, where its body begins, and where it ends.
+        let mut bounds = Vec::new();
+        for (body, pad) in &requests {
+            let (bytes, head) = request_bytes(*body, *pad);
+            bounds.push((stream.len(), stream.len() + head, stream.len() + bytes.len()));
+            stream.extend(bytes);
+        }
+        let (mut at, mut whole, mut state) = (0, 0, (Phase::Idle, START));
+        for (length, ms) in cuts {
+            clock.advance(ms);
+            let to = (at + length).min(stream.len());
+            buf.extend_from_slice(&stream[at..to]);
+            at = to;
+            while let Some(request) = codec.decode(&mut buf).unwrap() {
+                prop_assert_eq!(request.unwrap().body.len(), requests[whole].0);
+                whole += 1;
+            }
+            prop_assert_eq!(whole, bounds.iter().filter(|(_, _, end)| *end <= at).count());
+            let phase = match bounds.get(whole) {
+                Some((begin, body, _)) if at > *begin => if at < *body { Phase::Head } else { Phase::Body },
+                _ => Phase::Idle,
+            };
+            // A phase that lasts keeps the time at which it began.
+            let began = codec.phase().1;
+            prop_assert_eq!(codec.phase().0, phase);
+            prop_assert!(began >= state.1 && began <= clock.now());
+            prop_assert!(phase != state.0 || whole > 0 || began == state.1);
+            state = (phase, began);
+        }
+    }
+
+    /// Whatever comes, in whatever pieces: an answer, an error or a wait for more, and never a growing buffer.
+    #[test]
+    fn no_bytes_of_a_member_or_the_bulletin_are_too_strange(
+        pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..700), 0..40),
+    ) {
+        let (mut lines, mut frames) = (LineCodec::default(), FrameCodec);
+        let (mut line_bytes, mut frame_bytes) = (BytesMut::new(), BytesMut::new());
+        for piece in pieces {
+            line_bytes.extend_from_slice(&piece);
+            frame_bytes.extend_from_slice(&piece);
+            let line = std::iter::from_fn(|| lines.decode(&mut line_bytes).transpose()).find(|r| r.is_err());
+            let frame = std::iter::from_fn(|| frames.decode(&mut frame_bytes).transpose()).find(|r| r.is_err());
+            if line.is_some() && frame.is_some() {
+                return Ok(());
+            }
+            prop_assert!(line.is_some() || line_bytes.len() <= LINE_MOST);
+            prop_assert!(frame.is_some() || frame_bytes.len() <= FRAME_MOST + 4);
+        }
+    }
+}
