--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -137,6 +137,35 @@
     });
 }
 
+/// Guards the client against half an answer that passes for a whole one: a cut at a cache is tried elsewhere,
+/// and where everything is cut no body is sent at all.
+#[test]
+fn a_cut_answer_never_passes_for_whole() {
+    run(async {
+        let (site, at) = open("cut").await;
+        CACHES.iter().for_each(|id| site.members[id].cuts.set(true));
+        let answer = ask(at, "GET", CLIP, &headers(1)).await;
+        assert_eq!((answer.status, &answer.body[..]), (200, &b"bytes of 7f3a9c21e0b4d655 part 3"[..]));
+        let (broken, served) = site.host.with(|e| (e.counters.broken, e.counters.served));
+        assert_eq!((broken, served), (2, 1));
+        site.members.values().for_each(|m| m.cuts.set(true));
+        let answer = ask(at, "GET", CLIP, &headers(2)).await;
+        assert!(answer.status >= 500 && answer.body.is_empty(), "{answer:?}");
+    });
+}
+
+/// Guards the rules on what was told: a link that only stays silent is taken for broken, and made anew.
+#[test]
+fn a_silent_bulletin_is_connected_to_again() {
+    run(async {
+        let (site, _) = open("silent_bulletin").await;
+        // The stand-in never sends the empty frame of each second.
+        until(|| site.bulletin.links.borrow().len() == 1).await;
+        until(|| site.host.with(|e| e.counters.bulletin_links) >= 2).await;
+        assert!(site.host.with(|e| e.counters.bulletin_faults) >= 1);
+    });
+}
+
 /// A link to the bulletin that ends is made anew from the last number, and nothing is taken twice.
 #[test]
 fn the_bulletin_is_followed_across_a_cut() {
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -53,6 +53,8 @@
     pub dropped: Rc<RefCell<Vec<String>>>,
     pub connections: Rc<Cell<usize>>,
     pub script: Rc<RefCell<Script>>,
+    /// Answers end in their middle, and the connection with them.
+    pub cuts: Rc<Cell<bool>>,
 }
 
 /// The bytes that every stand-in holds for an object's part.
@@ -87,14 +89,22 @@
             dropped: Rc::default(),
             connections: Rc::default(),
             script: Rc::new(RefCell::new(holds())),
+            cuts: Rc::default(),
         };
         let (asked, dropped) = (cache.asked.clone(), cache.dropped.clone());
-        let (connections, script) = (cache.connections.clone(), cache.script.clone());
+        let (connections, script, cuts) =
+            (cache.connections.clone(), cache.script.clone(), cache.cuts.clone());
         spawn_local(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
                 connections.set(connections.get() + 1);
-                spawn_local(Self::serve(stream, asked.clone(), dropped.clone(), script.clone()));
+                spawn_local(Self::serve(
+                    stream,
+                    asked.clone(),
+                    dropped.clone(),
+                    script.clone(),
+                    cuts.clone(),
+                ));
             }
         });
         cache
@@ -105,6 +115,7 @@
         asked: Rc<RefCell<Vec<HashMap<String, String>>>>,
         dropped: Rc<RefCell<Vec<String>>>,
         script: Rc<RefCell<Script>>,
+        cuts: Rc<Cell<bool>>,
     ) {
         let mut stream = BufReader::new(stream);
         let mut line = String::new();
@@ -127,7 +138,12 @@
             asked.borrow_mut().push(fields);
             if let Some((word, fields, body)) = answer {
                 let head = format!("{} {word} {fields} {}\r\n", words[1], body.len());
-                let _ = stream.write_all(&[head.as_bytes(), &body, b"\r\n"].concat()).await;
+                let bytes = [head.as_bytes(), &body, b"\r\n"].concat();
+                if cuts.get() {
+                    let _ = stream.write_all(&bytes[..head.len() + body.len() / 2]).await;
+                    return;
+                }
+                let _ = stream.write_all(&bytes).await;
             }
         }
     }
