--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -387,7 +387,13 @@
             self.attempts.put(id, attempt);
             return self.settle(id, Verdict::NeverSent);
         };
-        let place = self.connections.place(member, id.0, now);
+        let mut place = self.connections.place(member, id.0, now);
+        if place == Place::Nowhere {
+            if let Some(idle) = self.connections.evict(member) {
+                self.effects.push_back(Effect::Wake(idle));
+                place = self.connections.place(member, id.0, now);
+            }
+        }
         match place {
             Place::On(conn) | Place::New(conn) => {
                 attempt.conn = conn;
--- a/src/lifecycle/config.rs
+++ b/src/lifecycle/config.rs
@@ -38,6 +38,9 @@
     },
 }
 
+/// The fewest descriptors that a proxy can work with.
+const SOCKETS_LEAST: usize = 32;
+
 /// The configuration.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Config {
@@ -105,7 +108,7 @@
         for event in events {
             config.settings.check_event(&event).map_err(|why| field("known", why))?;
         }
-        if config.limits.sockets < 64 {
+        if config.limits.sockets < SOCKETS_LEAST {
             return Err(field("limits.sockets", format!("{} are too few", config.limits.sockets)));
         }
         Ok(config)
--- a/src/memory/connections.rs
+++ b/src/memory/connections.rs
@@ -106,7 +106,9 @@
         let mine = || self.all.iter().filter(|(_, c)| c.member == member);
         let best = mine().filter(|(_, c)| c.takes(id)).min_by_key(|(k, c)| (c.load(), !c.up, **k));
         let best = best.map(|(k, c)| (*k, c.load()));
-        let room = self.all.len() < self.bounds.total && mine().count() < self.bounds.member;
+        // What is idle and closing ends at once, and counts no more.
+        let held = self.all.values().filter(|c| !(c.closing && c.up && c.load() == 0)).count();
+        let room = held < self.bounds.total && mine().count() < self.bounds.member;
         match best {
             Some((conn, load)) if load < self.bounds.spread || (!room && load < self.bounds.streams) => {
                 Place::On(conn)
@@ -121,6 +123,18 @@
         }
     }
 
+    /// Makes room for a member that has no connection: the one that was idle for longest is to be closed. Guards
+    /// a cache that has just started against idle connections to all others holding every place.
+    pub fn evict(&mut self, member: MemberId) -> Option<ConnId> {
+        if self.all.values().any(|c| c.member == member) {
+            return None;
+        }
+        let idle = self.all.iter_mut().filter(|(_, c)| c.up && !c.closing && c.load() == 0);
+        let (conn, c) = idle.min_by(|a, b| a.1.used_ms.total_cmp(&b.1.used_ms))?;
+        c.closing = true;
+        Some(*conn)
+    }
+
     /// A connection.
     pub fn get_mut(&mut self, conn: ConnId) -> Option<&mut Connection> {
         self.all.get_mut(&conn)
@@ -170,6 +184,21 @@
         assert_eq!(put(9, 7), Place::Nowhere);
     }
 
+    #[test]
+    fn an_idle_connection_makes_room_for_a_member_without_one() {
+        let mut all = Connections::new(Bounds { total: 2, member: 2, spread: 1, streams: 1 });
+        for (member, used) in [(7, 5.0), (8, 3.0)] {
+            let Place::New(conn) = all.place(member, 1, used) else { panic!() };
+            all.get_mut(conn).unwrap().up = true;
+        }
+        assert_eq!(all.place(9, 1, 9.0), Place::Nowhere);
+        assert_eq!(all.evict(7), None, "it has one");
+        assert_eq!(all.evict(9), Some(2), "idle for longest");
+        assert_eq!(all.place(9, 1, 9.0), Place::New(3));
+        all.get_mut(1).unwrap().queue.push_back((1, 0));
+        assert_eq!(all.evict(10), None, "nothing else is idle");
+    }
+
     /// Guards against a late answer to the first attempt ending the second.
     #[test]
     fn a_request_given_up_on_a_connection_does_not_go_there_again() {
