One type for deadlines, shared by attempts, requests and timers; one list of members for the engine's tests

An id that came again after its request had ended would have been ended at the time of the first one: found while reading the two heaps side by side. Test: `an_id_that_comes_again_has_its_own_time`.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -5,16 +5,17 @@
 pub mod host;
 
 use crate::clock::{micros, millis, Clock};
-use crate::memory::attempts::{Attempt, AttemptId, Attempts, Due, Stage};
+use crate::memory::attempts::{Attempt, AttemptId, Attempts, Stage};
 use crate::memory::connections::{Bounds, ConnId, Connections, Place};
 use crate::memory::counters::Counters;
+use crate::memory::deadlines::Deadlines;
 use crate::memory::requests::{Ask, Final, NotTaken, Requests};
 use crate::memory::roster::Roster;
 use crate::settings::Env;
 use crate::wire::frames::{News, Numbered};
 use crate::wire::lines::{Command, Get, Reply, Word};
 use crate::{Action, Event, MemberId, Note, RequestId, Router, Verdict};
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -81,7 +82,7 @@
     attempts: Attempts,
     connections: Connections,
     roster: Roster,
-    timers: BinaryHeap<Due<u64>>,
+    timers: Deadlines<u64>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
     effects: VecDeque<Effect>,
@@ -103,7 +104,7 @@
             attempts: Attempts::default(),
             connections: Connections::new(bounds.connections),
             roster: Roster::default(),
-            timers: BinaryHeap::new(),
+            timers: Deadlines::default(),
             events: VecDeque::new(),
             actions: Vec::new(),
             effects: VecDeque::new(),
@@ -270,11 +271,9 @@
             self.time_out(now, id);
             self.run();
         }
-        while self.timers.peek().is_some_and(|Due(at, _)| *at <= now) {
-            if let Some(Due(_, token)) = self.timers.pop() {
-                self.events.push_back(Event::Timer { token });
-                self.run();
-            }
+        while let Some(token) = self.timers.take(now, |_, _| true) {
+            self.events.push_back(Event::Timer { token });
+            self.run();
         }
         // Guards the rule that each request is answered in time, should the module ever forget one.
         while let Some(id) = self.requests.overdue(now) {
@@ -293,7 +292,7 @@
     pub fn next_due(&mut self) -> f64 {
         let tidy = self.tidied_ms + HOUSEKEEPING_MS;
         let attempt = self.attempts.next_due().unwrap_or(f64::INFINITY);
-        let timer = self.timers.peek().map_or(f64::INFINITY, |Due(at, _)| *at);
+        let timer = self.timers.next(|_, _| true).unwrap_or(f64::INFINITY);
         let request = self.requests.next_due().unwrap_or(f64::INFINITY);
         tidy.min(attempt).min(timer).min(request)
     }
@@ -366,7 +365,7 @@
                     self.settle(id, Verdict::Cancelled);
                 }
             }
-            Action::Timer { token, at } => self.timers.push(Due(millis(at), token)),
+            Action::Timer { token, at } => self.timers.push(millis(at), token),
             // Probes are not allowed on this platform, and its PING tells only that a connection works.
             Action::Probe { member } => {
                 self.events.push_back(Event::Probed { member, verdict: Verdict::NeverSent });
--- a/src/memory/attempts.rs
+++ b/src/memory/attempts.rs
@@ -1,9 +1,9 @@
 //! Attempts that are out: queued for a connection, or written to one.
 
 use super::connections::ConnId;
+use super::deadlines::Deadlines;
 use crate::{MemberId, RequestId};
-use std::cmp::Ordering;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::HashMap;
 
 /// An attempt: its request and its number there.
 pub type AttemptId = (RequestId, u32);
@@ -44,35 +44,17 @@
     pub stage: Stage,
 }
 
-/// A time at which something is due, the earliest first in a heap.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Due<T>(pub f64, pub T);
-
-impl<T: PartialEq> Eq for Due<T> {}
-
-impl<T: PartialEq> PartialOrd for Due<T> {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl<T: PartialEq> Ord for Due<T> {
-    fn cmp(&self, other: &Self) -> Ordering {
-        other.0.total_cmp(&self.0)
-    }
-}
-
 /// All attempts that are out.
 #[derive(Debug, Default)]
 pub struct Attempts {
     out: HashMap<AttemptId, Attempt>,
-    due: BinaryHeap<Due<AttemptId>>,
+    due: Deadlines<AttemptId>,
 }
 
 impl Attempts {
     /// Puts an attempt out.
     pub fn put(&mut self, id: AttemptId, attempt: Attempt) {
-        self.due.push(Due(attempt.due_ms, id));
+        self.due.push(attempt.due_ms, id);
         self.out.insert(id, attempt);
     }
 
@@ -98,20 +80,11 @@
 
     /// When the next one's time is over.
     pub fn next_due(&mut self) -> Option<f64> {
-        while let Some(Due(at, id)) = self.due.peek() {
-            if self.out.contains_key(id) {
-                return Some(*at);
-            }
-            self.due.pop();
-        }
-        None
+        self.due.next(|id, _| self.out.contains_key(&id))
     }
 
     /// One whose time is over.
     pub fn overdue(&mut self, now: f64) -> Option<AttemptId> {
-        if self.next_due()? > now {
-            return None;
-        }
-        self.due.pop().map(|Due(_, id)| id)
+        self.due.take(now, |id, _| self.out.contains_key(&id))
     }
 }
--- /dev/null
+++ b/src/memory/deadlines.rs
@@ -0,0 +1,74 @@
+//! Times at which something is due, the earliest first.
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Due<T>(f64, T);
+
+impl<T: PartialEq> Eq for Due<T> {}
+
+impl<T: PartialEq> PartialOrd for Due<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<T: PartialEq> Ord for Due<T> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.0.total_cmp(&self.0)
+    }
+}
+
+/// Times with what is due at each. What has ended before its time stays until its time, or until it is first.
+#[derive(Debug)]
+pub struct Deadlines<T>(BinaryHeap<Due<T>>);
+
+impl<T: PartialEq> Default for Deadlines<T> {
+    fn default() -> Self {
+        Self(BinaryHeap::new())
+    }
+}
+
+impl<T: PartialEq + Copy> Deadlines<T> {
+    /// Something is due at a time, in milliseconds.
+    pub fn push(&mut self, at: f64, what: T) {
+        self.0.push(Due(at, what));
+    }
+
+    /// The first time at which something is due that `stands` still, asked with its time.
+    pub fn next(&mut self, stands: impl Fn(T, f64) -> bool) -> Option<f64> {
+        while let Some(Due(at, what)) = self.0.peek() {
+            if stands(*what, *at) {
+                return Some(*at);
+            }
+            self.0.pop();
+        }
+        None
+    }
+
+    /// Takes one that is due by `now` and `stands` still.
+    pub fn take(&mut self, now: f64, stands: impl Fn(T, f64) -> bool) -> Option<T> {
+        if self.next(stands)? > now {
+            return None;
+        }
+        self.0.pop().map(|Due(_, what)| what)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_earliest_comes_first_and_what_has_ended_never() {
+        let mut times = Deadlines::default();
+        [(30.0, 3), (10.0, 1), (20.0, 2)].into_iter().for_each(|(at, what)| times.push(at, what));
+        let stands = |what, _| what != 1;
+        assert_eq!(times.next(stands), Some(20.0));
+        assert_eq!(times.take(19.0, stands), None);
+        assert_eq!(times.take(30.0, stands), Some(2));
+        assert_eq!(times.take(30.0, stands), Some(3));
+        assert_eq!(times.next(stands), None);
+    }
+}
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -4,5 +4,6 @@
 pub mod attempts;
 pub mod connections;
 pub mod counters;
+pub mod deadlines;
 pub mod requests;
 pub mod roster;
--- a/src/memory/requests.rs
+++ b/src/memory/requests.rs
@@ -1,9 +1,9 @@
 //! The table of requests that are owed one final answer.
 
-use super::attempts::Due;
+use super::deadlines::Deadlines;
 use crate::RequestId;
 use bytes::Bytes;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::HashMap;
 
 /// A client's request as a front hands it to the engine.
 #[derive(Clone, Debug, Default)]
@@ -76,14 +76,14 @@
 #[derive(Debug)]
 pub struct Requests {
     open: HashMap<RequestId, (Ask, u32)>,
-    due: BinaryHeap<Due<RequestId>>,
+    due: Deadlines<RequestId>,
     most: usize,
 }
 
 impl Requests {
     /// An empty table.
     pub fn new(most: usize) -> Self {
-        Self { open: HashMap::new(), due: BinaryHeap::new(), most }
+        Self { open: HashMap::new(), due: Deadlines::default(), most }
     }
 
     /// Takes a request in: from now on it owes an answer.
@@ -94,7 +94,7 @@
         if self.open.len() >= self.most {
             return Err(NotTaken::Full);
         }
-        self.due.push(Due(ask.give_up_ms, ask.id));
+        self.due.push(ask.give_up_ms, ask.id);
         self.open.insert(ask.id, (ask, 0));
         Ok(())
     }
@@ -113,21 +113,17 @@
 
     /// When the next request's time is over.
     pub fn next_due(&mut self) -> Option<f64> {
-        while let Some(Due(at, id)) = self.due.peek() {
-            if self.open.contains_key(id) {
-                return Some(*at);
-            }
-            self.due.pop();
-        }
-        None
+        self.due.next(|id, at| Self::stands(&self.open, id, at))
     }
 
-    /// A request whose time was over by `now`. It stays until it is ended.
+    /// A request whose time was over by `now`; it is told once, and is to be ended then.
     pub fn overdue(&mut self, now: f64) -> Option<RequestId> {
-        if self.next_due()? > now {
-            return None;
-        }
-        self.due.peek().map(|Due(_, id)| *id)
+        self.due.take(now, |id, at| Self::stands(&self.open, id, at))
+    }
+
+    /// Guards against an id that comes again being ended at the time of the request that had it before.
+    fn stands(open: &HashMap<RequestId, (Ask, u32)>, id: RequestId, at: f64) -> bool {
+        open.get(&id).is_some_and(|(ask, _)| ask.give_up_ms == at)
     }
 
     /// Ends a request. Only the first caller gets it, and with it the right to answer.
@@ -161,4 +157,15 @@
         assert!(table.end(1).is_some() && table.end(1).is_none());
         assert_eq!(table.len(), 1);
     }
+
+    #[test]
+    fn an_id_that_comes_again_has_its_own_time() {
+        let ask = |give_up_ms| Ask { id: 1, give_up_ms, ..Ask::default() };
+        let mut table = Requests::new(2);
+        table.take(ask(10.0)).unwrap();
+        table.end(1);
+        table.take(ask(50.0)).unwrap();
+        assert_eq!((table.overdue(20.0), table.next_due()), (None, Some(50.0)));
+        assert_eq!(table.overdue(50.0), Some(1));
+    }
 }
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -1,17 +1,18 @@
 //! The engine by itself, on a clock that the test sets: what it guards against between the module and a socket.
 
+mod members;
+
 use calicobeam::clock::Clock;
 use calicobeam::engine::{Effect, Engine, EngineBounds, Next};
 use calicobeam::memory::connections::{Bounds, ConnId};
 use calicobeam::memory::requests::{Ask, Final};
-use calicobeam::settings::{Env, Row};
-use calicobeam::wire::frames::{News, Numbered, Target};
+use calicobeam::settings::Env;
+use calicobeam::wire::frames::{News, Numbered};
 use calicobeam::wire::lines::{Command, Get, Reply, Word};
-use std::net::SocketAddrV4;
+use members::{target, PARENT};
 use std::rc::Rc;
 
 const START: f64 = 1_764_576_000_000.0;
-const PARENT: u32 = 8;
 
 struct Bench {
     clock: Clock,
@@ -19,24 +20,6 @@
     no: u64,
 }
 
-fn target(id: u32, lifecycle: &str) -> Target {
-    let (zone, model) = match id {
-        PARENT | 7 => ("hub", "parent"),
-        9 => ("hub", "origin"),
-        _ => ("town", "box"),
-    };
-    let row = Row {
-        zone: zone.into(),
-        model: model.into(),
-        lifecycle: lifecycle.into(),
-        ready_at_us: 0,
-        cache: id,
-        power_hint: Some(4.0),
-        cohort: 0,
-    };
-    Target { row, address: SocketAddrV4::new([127, 0, 0, 1].into(), 5_000 + id as u16) }
-}
-
 impl Bench {
     /// An engine with these members.
     fn new(ids: &[u32]) -> Self {
--- /dev/null
+++ b/tests/members/mod.rs
@@ -0,0 +1,28 @@
+//! The members that the engine's tests know: caches 1 to 6, parents 7 and 8, the origin 9.
+
+use calicobeam::settings::Row;
+use calicobeam::wire::frames::Target;
+use std::net::SocketAddrV4;
+
+/// The parent that both tests use.
+#[allow(dead_code)]
+pub const PARENT: u32 = 8;
+
+/// A member's line; its port tells its id.
+pub fn target(id: u32, lifecycle: &str) -> Target {
+    let (zone, model) = match id {
+        PARENT | 7 => ("hub", "parent"),
+        9 => ("hub", "origin"),
+        _ => ("town", "box"),
+    };
+    let row = Row {
+        zone: zone.into(),
+        model: model.into(),
+        lifecycle: lifecycle.into(),
+        ready_at_us: 0,
+        cache: id,
+        power_hint: Some(4.0),
+        cohort: 0,
+    };
+    Target { row, address: SocketAddrV4::new([127, 0, 0, 1].into(), 5_000 + id as u16) }
+}
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -1,18 +1,20 @@
 //! The engine and its connections against a model, by random steps on a clock that the test sets.
 
+mod members;
+
 use bytes::BytesMut;
 use calicobeam::clock::Clock;
 use calicobeam::engine::{Effect, Engine, EngineBounds, Next};
 use calicobeam::memory::connections::{Bounds, ConnId};
 use calicobeam::memory::requests::{Ask, Final};
-use calicobeam::settings::{Env, Row};
-use calicobeam::wire::frames::{FrameCodec, News, Numbered, Target, FRAME_MOST};
+use calicobeam::settings::Env;
+use calicobeam::wire::frames::{FrameCodec, News, Numbered, FRAME_MOST};
 use calicobeam::wire::http::{HttpCodec, Phase};
 use calicobeam::wire::lines::{Command, LineCodec, Reply, Word, LINE_MOST};
+use members::target;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddrV4;
 use std::rc::Rc;
 use tokio_util::codec::Decoder;
 
@@ -40,24 +42,6 @@
     next_no: u64,
 }
 
-fn target(id: u32, lifecycle: &str) -> Target {
-    let (zone, model) = match id {
-        1..=3 => ("town", "box"),
-        8 => ("hub", "parent"),
-        _ => ("hub", "origin"),
-    };
-    let row = Row {
-        zone: zone.into(),
-        model: model.into(),
-        lifecycle: lifecycle.into(),
-        ready_at_us: 0,
-        cache: id,
-        power_hint: Some(4.0),
-        cohort: 0,
-    };
-    Target { row, address: SocketAddrV4::new([127, 0, 0, 1].into(), 5_000 + id as u16) }
-}
-
 impl Model {
     fn new() -> Self {
         let mut text = br#"{"classes":[{"name":"clip","deadlineUs":5000000,"promiseUs":600000,"semantics":"pure",
