--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -17,3 +17,15 @@
     let head: Vec<&str> = include_str!("../src/policy.rs").lines().take(3).collect();
     assert!(head.join(" ").contains("interface.rs"));
 }
+
+/// What the deploy file names as the module and the proxy is there.
+#[test]
+fn the_deploy_file_names_what_exists() {
+    let text = include_str!("../deploy/balancer.toml");
+    let lists = text.lines().filter(|line| line.starts_with("policy") || line.starts_with("node"));
+    let paths: Vec<&str> = lists.flat_map(|line| line.split('"').skip(1).step_by(2)).collect();
+    assert!(paths.len() > 2, "{paths:?}");
+    for path in paths {
+        assert!(std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join(path).exists(), "{path}");
+    }
+}
