Spoilt answers, resets and dead processes are told apart; requests are read strictly

Checked: the log shows unreadable lines from every cache alike; a reset of an idle connection settled its queue as NoConnection though no connect had failed (engine closed()); policy.rs learn() gave both PLAIN_FAILURE; pick_cache() left every cache once tried; platform.rs let part, X-Set, size, patience, key and a GET's body through unbounded.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -29,6 +29,8 @@
 /// Attempts that time out one after another on a connection with nothing read between, which say the same.
 const UNHEARD_MOST: u32 = 2;
 
+/// How often an attempt whose connection ended before its first byte goes to another at once.
+const MOVES_MOST: u32 = 2;
 /// With less than this left of its time, in milliseconds, a request that ends has ended for want of it: the module
 /// sends nothing with so little left.
 const OVER_MS: f64 = 50.0;
@@ -204,25 +206,50 @@
     pub fn connect_failed(&mut self, conn: ConnId, local: bool) {
         self.counters.connect_failures += 1;
         let verdict = if local { Verdict::NeverSent } else { Verdict::NoConnection };
-        self.closed(conn, verdict);
+        self.closed(conn, Verdict::Broken).into_iter().for_each(|id| self.settle(id, verdict));
+        self.run();
     }
 
-    /// A connection ended, or what came over it can't be read.
+    /// A connection ended that had come up.
     pub fn broken(&mut self, conn: ConnId) {
-        // What was not written never ran; the connection is no more, so it says what a failed connect says.
-        self.closed(conn, Verdict::NoConnection);
+        self.ended(conn, Verdict::Broken);
+    }
+
+    /// What came over a connection can't be used, and so nothing that may still come over it.
+    pub fn spoilt(&mut self, conn: ConnId) {
+        self.counters.spoilt += 1;
+        self.ended(conn, Verdict::Spoilt);
+    }
+
+    /// What was written may have run. What was not goes to another connection at once: one that ends while it is
+    /// idle proves no dead process; only a connect that fails does.
+    fn ended(&mut self, conn: ConnId, written: Verdict) {
+        let unwritten = self.closed(conn, written);
+        let now = self.clock.now();
+        for id in unwritten {
+            let Some(attempt) = self.attempts.end(id) else { continue };
+            if attempt.moves < MOVES_MOST {
+                self.counters.attempts_moved += 1;
+                let moves = attempt.moves + 1;
+                self.place(now, id, Attempt { moves, ..attempt });
+            } else {
+                self.attempts.put(id, attempt);
+                self.settle(id, Verdict::NoConnection);
+            }
+        }
+        self.run();
     }
 
-    fn closed(&mut self, conn: ConnId, unwritten: Verdict) {
-        let Some(c) = self.connections.remove(conn) else { return };
+    /// Forgets a connection and settles what was written to it; tells what was not.
+    fn closed(&mut self, conn: ConnId, verdict: Verdict) -> VecDeque<AttemptId> {
+        let Some(c) = self.connections.remove(conn) else { return VecDeque::new() };
         if !c.out.is_empty() {
             self.counters.broken += 1;
         }
         let mut written: Vec<AttemptId> = c.out.into_values().collect();
         written.sort_unstable();
-        written.into_iter().for_each(|id| self.settle(id, Verdict::Broken));
-        c.queue.into_iter().for_each(|id| self.settle(id, unwritten));
-        self.run();
+        written.into_iter().for_each(|id| self.settle(id, verdict));
+        c.queue
     }
 
     /// A member answered.
@@ -341,11 +368,11 @@
                 self.counters.attempts += 1;
                 let (max_age_ms, due_ms) = (millis(max_age), now + millis(timeout));
                 let source = source.filter(|s| *s != to);
-                let (conn, stage, sent_ms) = (0, Stage::Queued, now);
+                let (conn, stage, sent_ms, moves) = (0, Stage::Queued, now, 0);
                 let id_text = self.requests.get(id).map(|ask| ask.id_text.clone()).unwrap_or_default();
                 #[rustfmt::skip]
                 let attempt = Attempt {
-                    id_text, to, source, join, renew, max_age_ms, keep, sent_ms, due_ms, conn, stage,
+                    id_text, to, source, join, renew, max_age_ms, keep, sent_ms, due_ms, conn, stage, moves,
                 };
                 self.place(now, (id, number), attempt);
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -167,6 +167,8 @@
     NoConnection,
     /// The connection broke; it may have run.
     Broken,
+    /// What came over its connection can't be used; it may have run.
+    Spoilt,
     /// Called off; it may have run.
     Cancelled,
     /// Never sent.
@@ -180,6 +182,11 @@
     pub fn never_ran(self) -> bool {
         matches!(self, Self::Refused | Self::NoConnection | Self::NeverSent | Self::Miss)
     }
+
+    /// Whether the attempt was lost on its way to or from a member, which proves no load and no fault there.
+    pub fn is_lost(self) -> bool {
+        matches!(self, Self::Broken | Self::Spoilt | Self::NoConnection | Self::NeverSent)
+    }
 }
 
 /// What an outcome says of the path it took, where the settings promise any such note.
--- a/src/memory/attempts.rs
+++ b/src/memory/attempts.rs
@@ -42,6 +42,8 @@
     pub conn: ConnId,
     /// Where it stands.
     pub stage: Stage,
+    /// How often it went to another connection unwritten.
+    pub moves: u32,
 }
 
 /// All attempts that are out.
--- a/src/memory/counters.rs
+++ b/src/memory/counters.rs
@@ -56,12 +56,18 @@
     broken,
     /// Connections to members dropped for what came over them.
     malformed_members,
+    /// Connections to members dropped because an answer stopped in its middle.
+    stalled_members,
+    /// Connections to members dropped for either.
+    spoilt,
     /// Attempts asked for by the module.
     attempts,
     /// Attempts written.
     attempts_written,
     /// Attempts found stale before their first byte.
     attempts_stale,
+    /// Attempts that went to another connection, since theirs ended before their first byte.
+    attempts_moved,
     /// Attempts called off.
     attempts_cancelled,
     /// Attempts that ran out of time.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,8 +30,13 @@
 const BAD_OUT: f64 = 0.5;
 /// Suspicion of a member without a bad outcome, beside the share of bad ones.
 const SUSPICION_LEAST: f64 = 0.1;
-/// Weight of an outcome that names its culprit by itself (no connection, broken connection), in outcomes.
+/// Weight of an outcome that names its culprit by itself, such as no connection, in outcomes.
 const PLAIN_FAILURE: f64 = 2.0;
+/// Weight of a connection that broke, in outcomes: one alone is tolerated. Where its process died, the next
+/// connect says so.
+const BROKEN: f64 = 0.25;
+/// Attempts at one cache that may break or be spoilt before the request goes elsewhere.
+const SAME_MOST: usize = 2;
 /// Weight of an answer past its aim, in bad outcomes: slowness is a failure, but overload is slow too.
 const LATE_FAILURE: f64 = 0.5;
 /// Part of the stated multiple of a cold member's capacity that all routers together may use.
@@ -189,6 +194,8 @@
     may_have_run: bool,
     /// Its client's time allows less than the usual wait.
     cut: bool,
+    /// Its connection broke or was spoilt.
+    lost: bool,
 }
 
 struct Pending {
@@ -205,6 +212,18 @@
     done: bool,
 }
 
+impl Pending {
+    /// Attempts that tell where the next should go: a connection that ended says nothing of the path.
+    fn tried(&self) -> usize {
+        self.attempts.iter().filter(|a| !a.lost).count()
+    }
+    /// Whether a cache may still be asked: guards its copies against a request that leaves it for a reset.
+    fn open_to(&self, id: MemberId) -> bool {
+        let there = || self.attempts.iter().filter(|a| a.to == id);
+        there().all(|a| a.lost) && there().count() < SAME_MOST
+    }
+}
+
 /// Mean and deviation of served attempts' times, in multiples of what their size lets expect.
 #[derive(Clone, Copy)]
 struct Pace {
@@ -512,7 +531,7 @@
         let mut order: Vec<(f64, MemberId, f64)> = self
             .shares(now, Role::Cache)
             .into_iter()
-            .filter(|(id, _)| !req.attempts.iter().any(|a| a.to == *id))
+            .filter(|(id, _)| req.open_to(*id))
             .filter(|(id, _)| self.budget_allows(now, *id, work))
             .map(|(id, share)| {
                 let weight = self.members.get(&id).map_or(1.0, |m| m.line.weight);
@@ -561,7 +580,7 @@
     fn path(&self, now: Micros, req: &Pending, work: f64) -> Option<(MemberId, Option<MemberId>)> {
         let class = &self.set.classes[req.class];
         let origin = self.origin();
-        let tried = req.attempts.len();
+        let tried = req.tried();
         if class.uncacheable {
             if self.set.bypass {
                 let parent = || self.pick_parent(now, req.object, work, &[]);
@@ -667,7 +686,9 @@
         if self.origin().is_some_and(|o| source == Some(o) || to == o) && note != Note::Hit {
             if verdict == Verdict::Served && !late {
                 self.origin_room = (self.origin_room + ORIGIN_ROOM_MORE).min(1.0);
-            } else if failed || verdict == Verdict::NoConnection {
+            } else if matches!(verdict, Refused | TimedOut | Error)
+                || (verdict == Verdict::NoConnection && Some(to) == self.origin())
+            {
                 self.origin_room = (self.origin_room * ORIGIN_ROOM_LESS).max(ORIGIN_ROOM_LEAST);
             }
         }
@@ -678,7 +699,8 @@
             _ => {}
         }
         match (verdict, note) {
-            (Verdict::Cancelled | Verdict::NeverSent | Verdict::Miss, _) | (_, Note::NoFillPlace) => {}
+            (Verdict::Cancelled | Verdict::NeverSent | Verdict::Miss | Verdict::Spoilt, _) => {}
+            (_, Note::NoFillPlace) => {}
             (Verdict::Served, Note::Hit) => self.credit(now, to, !late, 1.0, LATE_FAILURE),
             (Verdict::Served, _) if !late => {
                 self.credit(now, to, true, 1.0, 0.0);
@@ -689,9 +711,8 @@
             // Late without a note: it may be a hit on a full link, and a source must not be left for that.
             (Verdict::Served, Note::Silent) => self.credit(now, to, false, 0.0, LATE_FAILURE),
             (Verdict::Served, _) => self.blame(now, to, source, LATE_FAILURE),
-            (Verdict::NoConnection | Verdict::Broken, Note::Silent) => {
-                self.credit(now, to, false, 0.0, PLAIN_FAILURE)
-            }
+            (Verdict::NoConnection, Note::Silent) => self.credit(now, to, false, 0.0, PLAIN_FAILURE),
+            (Verdict::Broken, Note::Silent) => self.credit(now, to, false, 0.0, BROKEN),
             (_, Note::SourceFailed) => self.blame(now, source.unwrap_or(to), None, PLAIN_FAILURE),
             (_, Note::OriginFailed) => {}
             _ => self.blame(now, to, source, 1.0),
@@ -777,7 +798,9 @@
     fn advance(&mut self, now: Micros, id: RequestId, last: Option<Verdict>, actions: &mut Vec<Action>) {
         let Some(req) = self.requests.get(&id) else { return };
         let left = req.give_up_at.saturating_sub(now);
-        let spare = last.is_none() || self.retries >= 1.0;
+        // What no member refused, failed or kept for long puts no load on any: it needs no budget.
+        let free = last.is_none_or(Verdict::is_lost);
+        let spare = free || self.retries >= 1.0;
         let tries = req.attempts.len() < self.set.max_attempts.max(1) as usize;
         // Past its aim a request earns little for a whole sending time more: not where others wait for it.
         let since = req.attempts.first().map_or(0, |a| now.saturating_sub(a.sent));
@@ -792,7 +815,7 @@
         if over || !self.send(now, id, actions) {
             return self.give_up(id, actions);
         }
-        self.retries -= if last.is_none() { 0.0 } else { 1.0 };
+        self.retries -= if free { 0.0 } else { 1.0 };
     }
 
     /// Share of late answers among a class's at this router.
@@ -856,7 +879,15 @@
             m.inflight += 1;
         }
         if let Some(req) = self.requests.get_mut(&id) {
-            req.attempts.push(Attempt { to, source, sent: now, out: true, may_have_run: true, cut });
+            req.attempts.push(Attempt {
+                to,
+                source,
+                sent: now,
+                out: true,
+                may_have_run: true,
+                cut,
+                lost: false,
+            });
         }
         true
     }
@@ -867,6 +898,7 @@
         let Some(a) = req.attempts.get_mut(attempt as usize).filter(|a| a.out) else { return };
         a.out = false;
         a.may_have_run = !verdict.never_ran();
+        a.lost = matches!(verdict, Verdict::Broken | Verdict::Spoilt);
         let (to, source) = (a.to, a.source.filter(|s| *s != a.to));
         if let Some(m) = self.members.get_mut(&to) {
             m.inflight = m.inflight.saturating_sub(1);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -199,6 +199,11 @@
         self.family_info.uncached.get(class).copied().unwrap_or(false)
     }
 
+    /// Whether the requests of a class carry a key by which repeats are dropped.
+    pub fn is_keyed(&self, class: usize) -> bool {
+        self.classes.get(class).is_some_and(|c| c.semantics == "token")
+    }
+
     /// How long the clients of a class wait over all, in milliseconds.
     pub fn deadline_ms(&self, class: usize) -> f64 {
         self.classes.get(class).map_or(0.0, |c| c.deadline_us as f64 / 1_000.0)
--- a/src/wire/lines.rs
+++ b/src/wire/lines.rs
@@ -115,6 +115,12 @@
 }
 
 impl LineCodec {
+    /// Whether it is in the middle of an answer; `buf` is what is read and not yet decoded.
+    pub fn within(&self, buf: &[u8]) -> bool {
+        // The end of an empty body may come with the next answer.
+        self.partial.is_some() || !b"\r\n".starts_with(buf)
+    }
+
     fn line(&mut self, text: &str) -> Result<Option<(Reply, usize)>, WireError> {
         let mut words = text.split(' ');
         let (Some(id), Some(word)) = (words.next(), words.next()) else {
@@ -291,6 +297,19 @@
         }
     }
 
+    /// Guards what waits behind an answer that stops short: the codec tells that it is in the middle of one.
+    #[test]
+    fn the_middle_of_an_answer_is_told_from_its_end() {
+        let text = b"000000000000000a ACK sum=1,t0=1 3\r\nabc\r\n000000000000000b NOENT - 0\r\n\r\n";
+        for cut in 0..=text.len() {
+            let (mut codec, mut buf) = (LineCodec::default(), BytesMut::from(&text[..cut]));
+            while codec.decode(&mut buf).unwrap().is_some() {}
+            let first = text.iter().position(|b| *b == b'c').unwrap() + 3;
+            let between = [0, first, text.len() - 2, text.len() - 1, text.len()].contains(&cut);
+            assert_eq!(codec.within(&buf), !between, "cut at {cut}");
+        }
+    }
+
     /// Guards against a pop cache whose bytes can't be read: the connection ends, nothing is guessed.
     #[test]
     fn what_is_malformed_or_too_large_is_an_error() {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -23,6 +23,9 @@
     /// The other side sent what its protocol doesn't allow.
     #[error("malformed: {0}")]
     Malformed(&'static str),
+    /// A message stopped in its middle.
+    #[error("stalled")]
+    Stalled,
     /// More came than may be held.
     #[error("too large: {0}")]
     TooLarge(&'static str),
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -12,6 +12,16 @@
 const MARGIN_MS: f64 = 40.0;
 /// ... and the most of it as a share: guards impatient clients against a margin that leaves no time at all.
 const MARGIN_SHARE: f64 = 0.1;
+/// The highest number of a part.
+const PART_MOST: u32 = 65_535;
+/// The highest number of a group.
+const GROUP_MOST: u32 = 255;
+/// The longest patience, in milliseconds.
+const PATIENCE_MOST: f64 = 3_600_000.0;
+/// The largest part, in KB.
+const SIZE_MOST: f64 = 10_000_000.0;
+/// The longest idempotency key.
+const KEY_MOST: usize = 64;
 /// How long a client stays away when the request table is full, in milliseconds.
 const FULL_WAIT_MS: f64 = 300.0;
 
@@ -34,45 +44,52 @@
         Self { env, limits }
     }
 
+    /// What a request asks for. Guards the members, and all that shares a connection with it, against what they
+    /// could not read: nothing is passed on that is not spelled plainly and within its bounds.
     fn ask(&self, request: &HttpRequest, now: f64) -> Result<Box<Ask>, HttpAnswer> {
-        let bad = || HttpAnswer::status(400);
+        let bad = || HttpAnswer::closing(400);
+        let unknown = || HttpAnswer::closing(404);
         let path = request.target.split('?').next().unwrap_or_default();
-        let mut steps = path.strip_prefix("/ops/").ok_or_else(|| HttpAnswer::status(404))?.split('/');
+        let mut steps = path.strip_prefix("/ops/").ok_or_else(unknown)?.split('/');
         let class = steps.next().and_then(|name| self.env.class(name));
-        let class = class.ok_or_else(|| HttpAnswer::status(404))?;
-        let object_text = steps.next().ok_or_else(|| HttpAnswer::status(404))?;
+        let class = class.ok_or_else(unknown)?;
+        let object_text = steps.next().ok_or_else(unknown)?;
         let object = hex16(object_text).ok_or_else(bad)?;
         let part = match steps.next() {
             None => 0,
             Some(text) => {
-                let digits = text.strip_prefix("slice-").ok_or_else(|| HttpAnswer::status(404))?;
-                digits.parse().map_err(|_| bad())?
+                let digits = text.strip_prefix("slice-").ok_or_else(unknown)?;
+                whole(digits, PART_MOST).ok_or_else(bad)?
             }
         };
         if steps.next().is_some() {
-            return Err(HttpAnswer::status(404));
+            return Err(unknown());
         }
         let writes = self.env.is_write(class);
         let method = if writes { "PUT" } else { "GET" };
         if request.method != method {
-            return Err(HttpAnswer::status(405).with("Allow", method));
+            return Err(HttpAnswer::closing(405).with("Allow", method));
+        }
+        if !writes && !request.body.is_empty() {
+            return Err(bad());
         }
         let header = |name| request.single(name).map_err(|_| bad());
         let id_text = header("x-call-id")?.ok_or_else(bad)?;
         let id = hex16(id_text).ok_or_else(bad)?;
-        let number = |text: Option<&str>| match text {
+        let number = |name, most| match header(name)? {
             None => Ok(None),
-            Some(text) => {
-                let value = text.parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0);
-                value.map(Some).ok_or_else(bad)
-            }
+            Some(text) => decimal(text).filter(|v| *v <= most).map(Some).ok_or_else(bad),
         };
-        let patience = number(header("x-patience-ms")?)?;
-        let patience = patience.unwrap_or_else(|| self.env.deadline_ms(class)).min(3_600_000.0);
-        let group = number(header("x-set")?)?.unwrap_or(0.0) as u32;
-        let size_kb = number(header("x-heap-kb")?)?.unwrap_or(0.0);
+        let patience = number("x-patience-ms", PATIENCE_MOST)?.unwrap_or_else(|| self.env.deadline_ms(class));
+        let size_kb = number("x-heap-kb", SIZE_MOST)?.unwrap_or(0.0);
+        let group = header("x-set")?.map_or(Some(0), |text| whole(text, GROUP_MOST)).ok_or_else(bad)?;
         let key = header("x-dedupe-key")?;
-        if key.is_some_and(|key| !is_value(key) || key.len() > 128) {
+        let plain = |key: &str| key.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_');
+        if key.is_some_and(|key| key.is_empty() || key.len() > KEY_MOST || !plain(key)) {
+            return Err(bad());
+        }
+        // Without its key a repeat could take effect twice.
+        if key.is_none() && self.env.is_keyed(class) {
             return Err(bad());
         }
         Ok(Box::new(Ask {
@@ -92,6 +109,18 @@
     }
 }
 
+/// A whole number in plain digits.
+fn whole(text: &str, most: u32) -> Option<u32> {
+    let plain = (1..=9).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_digit());
+    plain.then(|| text.parse().ok())?.filter(|n| *n <= most)
+}
+
+/// A number in plain digits with at most one point: no sign, no exponent, no name of what is not a number.
+fn decimal(text: &str) -> Option<f64> {
+    let plain = (1..=24).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    plain.then(|| text.parse().ok())?
+}
+
 /// The one tag of an `If-None-Match`, without its quotes; none where there are several or it is of no use.
 pub fn bare_tag(text: &str) -> Option<String> {
     let tag = text.strip_prefix("W/").unwrap_or(text).strip_prefix('"')?.strip_suffix('"')?;
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -267,3 +267,21 @@
     assert_eq!(answered, [1, 2, 3, 4, 5]);
     assert_eq!(b.engine.counters.overdue, 0, "the module itself ended them");
 }
+
+/// Guards a request whose connection ends before its first byte: it never ran, and a fresh connection to the same
+/// member tells whether that lives. Only so many times, though.
+#[test]
+fn what_was_never_written_goes_on_a_fresh_connection_at_once() {
+    let mut b = Bench::new(&[1, PARENT, 9]);
+    b.ask(1, 0);
+    for moves in 1..=2 {
+        let (conn, member) = b.opened()[0];
+        b.engine.connected(conn);
+        b.engine.broken(conn);
+        assert_eq!((member, b.engine.counters.attempts_moved, b.engine.counters.attempts), (1, moves, 1));
+    }
+    let (conn, member) = b.opened()[0];
+    b.engine.broken(conn);
+    assert_eq!((member, b.engine.counters.attempts_moved, b.engine.counters.attempts), (1, 2, 2));
+    assert_eq!(b.engine.owed(), 1, "the module has sent it elsewhere");
+}
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -648,3 +648,39 @@
     assert_eq!(refused[1], 0, "{refused:?}");
     assert!(refused[2] > 200, "late answers bring it back: {refused:?}");
 }
+
+/// Guards copies, members and the retry budget against peers that spoil answers or reset connections: nobody is
+/// blamed for long, the request goes back to the cache that holds its object, and no budget is spent.
+#[test]
+fn what_is_lost_on_its_way_is_asked_again_at_the_same_cache() {
+    for (verdict, each) in [(Verdict::Spoilt, 1), (Verdict::Broken, 5)] {
+        let mut bench = Bench::new(Settings { hit_notes: false, ..settings() }, fleet());
+        let mut fresh = Bench::new(settings(), fleet());
+        for object in 0..300 {
+            bench.now += 20 * MS;
+            if object % each != 0 {
+                assert_eq!(bench.path(object).to, fresh.path(object).to);
+                continue;
+            }
+            let asked = bench.ask(0, object);
+            let first = sent(&asked)[0].clone();
+            let (id, note, took, closed) = (first.id, Note::Silent, 50 * MS, false);
+            let again = bench.event(Event::Outcome { id, attempt: 0, verdict, note, took, closed });
+            assert_eq!(sent(&again)[0].to, first.to, "{verdict:?} of {object}");
+            let done = Event::Outcome { id, attempt: 1, verdict: Verdict::Served, note, took, closed: true };
+            bench.event(done);
+            assert_eq!(first.to, fresh.path(object).to, "its cache has lost nothing");
+        }
+    }
+}
+
+/// Guards requests against a cache that only ever breaks: after two breaks they go elsewhere.
+#[test]
+fn a_cache_that_only_breaks_is_left() {
+    let mut bench = Bench::new(Settings { hit_notes: false, ..settings() }, fleet());
+    let asked = bench.ask(0, 7);
+    let first = sent(&asked)[0].clone();
+    bench.outcome(first.id, 0, Verdict::Broken, false);
+    let third = bench.outcome(first.id, 1, Verdict::Broken, false);
+    assert_ne!(sent(&third)[0].to, first.to);
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -55,6 +55,8 @@
     pub script: Rc<RefCell<Script>>,
     /// Answers end in their middle, and the connection with them.
     pub cuts: Rc<Cell<bool>>,
+    /// So many answers stop in their middle, and the connection stays open.
+    pub stops: Rc<Cell<u32>>,
 }
 
 /// The bytes that every stand-in holds for an object's part.
@@ -90,7 +92,9 @@
             connections: Rc::default(),
             script: Rc::new(RefCell::new(holds())),
             cuts: Rc::default(),
+            stops: Rc::default(),
         };
+        let stops = cache.stops.clone();
         let (asked, dropped) = (cache.asked.clone(), cache.dropped.clone());
         let (connections, script, cuts) =
             (cache.connections.clone(), cache.script.clone(), cache.cuts.clone());
@@ -104,6 +108,7 @@
                     dropped.clone(),
                     script.clone(),
                     cuts.clone(),
+                    stops.clone(),
                 ));
             }
         });
@@ -116,6 +121,7 @@
         dropped: Rc<RefCell<Vec<String>>>,
         script: Rc<RefCell<Script>>,
         cuts: Rc<Cell<bool>>,
+        stops: Rc<Cell<u32>>,
     ) {
         let mut stream = BufReader::new(stream);
         let mut line = String::new();
@@ -143,6 +149,11 @@
                     let _ = stream.write_all(&bytes[..head.len() + body.len() / 2]).await;
                     return;
                 }
+                if stops.get() > 0 {
+                    stops.set(stops.get() - 1);
+                    let _ = stream.write_all(&bytes[..head.len() + body.len() / 2]).await;
+                    continue;
+                }
                 let _ = stream.write_all(&bytes).await;
             }
         }
