Fast errors cost little of the retry budget, and a plainly failing member takes all the blame

Checked by logging beliefs each second: its second cache drains, the last one fails 85 % within 2 ms; blame() gave the parents a part of each error, they seemed 70 % bad (they served all that was asked of them directly), requests got no fill or no path; advance() took a whole retry for an error of 2 ms, and the budget was empty (spare: 220 a second). Now: an error costs the budget its time over the aim, what was lost on its way nothing; a member that mostly fails and is 2.5 times as suspect as the other on its path takes all the blame.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,6 +37,9 @@
 const BROKEN: f64 = 0.25;
 /// Attempts at one cache that may break or be spoilt before the request goes elsewhere.
 const SAME_MOST: usize = 2;
+/// How much more suspect than the other a member of a path that mostly fails must be to get all the
+/// blame: a part of a failing cache's many errors would be enough to drown what its sources serve well.
+const CULPRIT: f64 = 2.5;
 /// Weight of an answer past its aim, in bad outcomes: slowness is a failure, but overload is slow too.
 const LATE_FAILURE: f64 = 0.5;
 /// Part of the stated multiple of a cold member's capacity that all routers together may use.
@@ -787,7 +790,11 @@
         let suspicion =
             |id: MemberId| self.members.get(&id).map_or(0.0, |m| SUSPICION_LEAST + self.bad_rate(now, m));
         let (there, behind) = (suspicion(to), source.map_or(0.0, suspicion));
-        let part = there / (there + behind).max(SUSPICION_LEAST);
+        let part = match there / behind {
+            ratio if ratio >= CULPRIT && there >= BAD_OUT => 1.0,
+            ratio if ratio <= 1.0 / CULPRIT && behind >= BAD_OUT => 0.0,
+            _ => there / (there + behind),
+        };
         self.credit(now, to, false, 0.0, weight * part);
         source.into_iter().for_each(|s| self.credit(now, s, false, 0.0, weight * (1.0 - part)));
     }
@@ -795,18 +802,23 @@
     // ---- answers ----
 
     /// Sends a request's next attempt, or gives its final answer at once.
-    fn advance(&mut self, now: Micros, id: RequestId, last: Option<Verdict>, actions: &mut Vec<Action>) {
+    fn advance(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        last: Option<(Verdict, f64)>,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(req) = self.requests.get(&id) else { return };
         let left = req.give_up_at.saturating_sub(now);
-        // What no member refused, failed or kept for long puts no load on any: it needs no budget.
-        let free = last.is_none_or(Verdict::is_lost);
-        let spare = free || self.retries >= 1.0;
+        let cost = last.map_or(0.0, |(_, cost)| cost);
+        let spare = self.retries >= cost;
         let tries = req.attempts.len() < self.set.max_attempts.max(1) as usize;
         // Past its aim a request earns little for a whole sending time more: not where others wait for it.
         let since = req.attempts.first().map_or(0, |a| now.saturating_sub(a.sent));
         let vain = since as f64 > self.aim(req) && self.jam(now, req.class) > JAM;
         // A cache that was asked only for what it holds, and lacks it: there was no room for a fill.
-        let lacks = last == Some(Verdict::Miss);
+        let lacks = last.is_some_and(|(verdict, _)| verdict == Verdict::Miss);
         let (full, held_only) = last.map_or_else(|| self.overloaded(now, req), |_| (false, req.held_only));
         if let Some(req) = self.requests.get_mut(&id) {
             req.held_only = held_only;
@@ -815,7 +827,7 @@
         if over || !self.send(now, id, actions) {
             return self.give_up(id, actions);
         }
-        self.retries -= if free { 0.0 } else { 1.0 };
+        self.retries -= cost;
     }
 
     /// Share of late answers among a class's at this router.
@@ -922,7 +934,14 @@
         if closed || req.done || verdict == Verdict::Served {
             self.conclude(id, actions);
         } else if !waiting {
-            self.advance(now, id, Some(verdict), actions);
+            // The budget guards against retries that multiply work. What was lost on its way costs none; an
+            // error has cost no more than the time that it took.
+            let cost = match verdict {
+                verdict if verdict.is_lost() => 0.0,
+                Verdict::Error => (took as f64 / self.aim(req)).min(1.0),
+                _ => 1.0,
+            };
+            self.advance(now, id, Some((verdict, cost)), actions);
         }
     }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -684,3 +684,27 @@
     let third = bench.outcome(first.id, 1, Verdict::Broken, false);
     assert_ne!(sent(&third)[0].to, first.to);
 }
+
+/// Guards requests of a location whose last cache fails fast: its errors spend no budget to speak of, and drown
+/// neither the parents' good name nor the way past it.
+#[test]
+fn a_lone_cache_that_fails_fast_is_passed_by() {
+    let mut bench = Bench::new(Settings { hit_notes: false, ..settings() }, fleet());
+    let ask = |bench: &mut Bench, object: u64| {
+        let (mut actions, mut attempt) = (bench.ask(0, object), 0);
+        while let Some(next) = sent(&actions).first().cloned() {
+            let (id, note) = (next.id, Note::Silent);
+            let ill = next.to == 1 && object % 8 != 0;
+            let (verdict, took) = if ill { (Verdict::Error, 2 * MS) } else { (Verdict::Served, 150 * MS) };
+            actions = bench.event(Event::Outcome { id, attempt, verdict, note, took, closed: !ill });
+            attempt += 1;
+        }
+        bench.now += 5 * MS;
+        finals(&actions).len()
+    };
+    assert_eq!((0..1_000).map(|o| ask(&mut bench, o)).sum::<usize>(), 0);
+    for id in 2..=4 {
+        bench.tell(Listing { life: Life::Draining, ..member(id, Role::Cache) });
+    }
+    assert_eq!((1_000..2_000).map(|o| ask(&mut bench, o)).sum::<usize>(), 0, "refused");
+}
