--- a/src/policy.rs
+++ b/src/policy.rs
@@ -54,6 +54,8 @@
 /// alone must not refuse what is answered in time.
 const ROOM_LESS: f64 = 0.9;
 const ROOM_MOST: f64 = 16.0;
+/// Least time between two cuts of a cache's room, us: late answers of one cause come together, as in TCP.
+const ROOM_GAP: Micros = 500_000;
 /// Fills taken for granted, of as many outcomes, in the share of attempts that end in a fill.
 const FILL_PRIOR: f64 = 5.0;
 /// What a served attempt says of its source where notes don't tell hits from fills, in good outcomes: most
@@ -163,8 +165,9 @@
     asked: Aged,
     /// This router's attempts that are out to it.
     inflight: u32,
-    /// Transfers that it is taken to bear at once.
+    /// Transfers that it is taken to bear at once, and when that was last cut.
     room: f64,
+    cut_at: Micros,
     /// Sending time sent to it lately while cold, us, drained at its budget's pace.
     spent: f64,
     spent_at: Micros,
@@ -375,10 +378,10 @@
                     let inflight = self.members.get(&e.id).map_or(0, |m| m.inflight);
                     let (good, bad, asked) = Default::default();
                     let (run, misses, probed_at, down, revived) = Default::default();
-                    let (spent, spent_at, room) = (self.debt(), now, line.weight);
+                    let (spent, spent_at, room, cut_at) = (self.debt(), now, line.weight, 0);
                     #[rustfmt::skip]
                     let fresh = Member {
-                        line, good, bad, asked, inflight, room, spent, spent_at,
+                        line, good, bad, asked, inflight, room, cut_at, spent, spent_at,
                         run, misses, probed_at, down, revived,
                     };
                     self.members.insert(e.id, fresh);
@@ -724,16 +727,13 @@
 
     /// Learns what a member bears, where weights don't tell: as long as answers come in time, more.
     fn learn_room(&mut self, now: Micros, id: MemberId, late: bool) {
-        let full = self.load(now, id) >= 1.0;
+        let load = self.load(now, id);
         let Some(m) = self.members.get_mut(&id).filter(|_| !self.set.weights_known) else { return };
-        let room = m.room
-            * if late {
-                ROOM_LESS
-            } else if full {
-                ROOM_MORE
-            } else {
-                1.0
-            };
+        // Late answers of a cache that is not even half full are its sources' or its location's link's.
+        let cut = late && load >= 0.5 && now >= m.cut_at + ROOM_GAP;
+        m.cut_at = if cut { now } else { m.cut_at };
+        let more = if load >= 1.0 && !late { ROOM_MORE } else { 1.0 };
+        let room = m.room * if cut { ROOM_LESS } else { more };
         m.room = room.clamp(m.line.weight, ROOM_MOST * m.line.weight);
     }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -708,3 +708,23 @@
     }
     assert_eq!((1_000..2_000).map(|o| ask(&mut bench, o)).sum::<usize>(), 0, "refused");
 }
+
+/// Guards a location against a burst of late answers of one cause, such as slow fills after a flush: it does not
+/// take a cache's room back to the guess at once, which would refuse most of what caches hold.
+#[test]
+fn a_burst_of_late_answers_cuts_a_caches_room_once() {
+    let lone = vec![member(1, Role::Cache), member(11, Role::Parent), member(21, Role::Origin)];
+    let mut bench = Bench::new(Settings { weights_known: false, hit_notes: false, ..settings() }, lone);
+    let mut refused = 0;
+    for k in 0..1_600 {
+        let asked = bench.ask(0, k);
+        refused += if k < 1_500 { 0 } else { finals(&asked).len() };
+        let (id, attempt, verdict, note, closed) =
+            ((k + 1).saturating_sub(24), 0, Verdict::Served, Note::Silent, true);
+        // The last ones come late, thirty within a third of a second.
+        let took = if (1_500..1_530).contains(&k) { 2_500 * MS } else { 100 * MS };
+        bench.event(Event::Outcome { id, attempt, verdict, note, took, closed });
+        bench.now += 10 * MS;
+    }
+    assert_eq!(refused, 0);
+}
