The clients' listening socket is taken over where the platform holds it

At fault: serve() always bound the address itself (lifecycle/serve.rs), and a stop went on accepting for 0.7 s. Not taken: SO_REUSEPORT, which loses what waits in the old process's queue. Both processes share one limit, so members' connections get a quarter of it there.

--- a/src/lifecycle/config.rs
+++ b/src/lifecycle/config.rs
@@ -62,6 +62,10 @@
     pub known: Known,
     /// The settings.
     pub settings: Env,
+    /// The platform holds the clients' listening socket and hands it over, so that a new process may serve beside
+    /// this one.
+    #[serde(skip)]
+    pub handed_over: bool,
     /// The file that it was read from.
     #[serde(skip)]
     path: PathBuf,
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod config;
 pub mod front;
+pub mod inherit;
 pub mod serve;
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -2,6 +2,7 @@
 
 use super::config::Config;
 use super::front::{keep_keys, FrontConfig};
+use super::inherit;
 use crate::clock::{span, Clock};
 use crate::engine::host::Host;
 use crate::engine::{Engine, EngineBounds};
@@ -23,6 +24,9 @@
 const ACCEPT_ON_MS: f64 = 700.0;
 /// The longest that a stop waits for answers to be taken, in milliseconds, beyond the longest deadline.
 const STOP_MORE_MS: f64 = 500.0;
+/// How long, in milliseconds, idle clients are kept after SIGTERM where a new process serves beside this one. Most go
+/// by themselves with their next answer, so few requests cross the end of their connection.
+const KEEP_IDLE_MS: f64 = 2_000.0;
 /// How often a stop looks whether all is done, in milliseconds.
 const STOP_LOOK_MS: f64 = 5.0;
 
@@ -48,7 +52,8 @@
     let seed = config.seed().map_err(|why| ServeError::Field("seed", why))?;
     let sockets = config.limits.sockets;
     let connections = Bounds {
-        total: sockets * 2 / 5 - extra / 2,
+        // Where a new process may serve beside this one, both have their descriptors of one limit.
+        total: if config.handed_over { sockets / 4 } else { sockets * 2 / 5 } - extra / 2,
         member: (sockets / 64).clamp(2, 16),
         spread: 4,
         streams: env.streams_per_connection(),
@@ -64,10 +69,13 @@
 
 /// Serves until SIGTERM or SIGINT, and ends once all that was taken is answered.
 pub async fn serve(
-    config: Config,
+    mut config: Config,
     front: Option<FrontConfig>,
     router: Option<vrrp::Settings>,
 ) -> Result<(), ServeError> {
+    let handed = inherit::listener();
+    let handed = handed.map_err(|e| ServeError::System("the socket that was handed over".into(), e))?;
+    config.handed_over = handed.is_some();
     let clock = Clock::system();
     let extra = front.as_ref().map_or(0, FrontConfig::connections);
     let (engine, env) = engine(&config, &clock, extra)?;
@@ -81,7 +89,12 @@
     let mut interrupt = await_signal(SignalKind::interrupt())?;
     let mut hangup = await_signal(SignalKind::hangup())?;
     let mut report = await_signal(SignalKind::user_defined1())?;
-    let listener = bind(listen).await?;
+    let handed = handed.map(TcpListener::from_std).transpose();
+    let handed = handed.map_err(|e| ServeError::System("the socket that was handed over".into(), e))?;
+    let listener = match handed {
+        Some(listener) => listener,
+        None => bind(listen).await?,
+    };
     let connections = config.limits.sockets * 2 / 5;
     let platform: Rc<dyn Front> = Rc::new(Platform::new(env.clone(), platform::limits(connections)));
     let (stop, closing) = (Rc::new(Stop::default()), Rc::new(Notify::new()));
@@ -128,11 +141,19 @@
     }
     eprintln!("calicobeam: {} stops", config.name);
     router_stop.notify_one();
-    tokio::time::sleep(span(ACCEPT_ON_MS)).await;
-    closing.notify_one();
-    second.notify_one();
+    let until = host.clock.now() + ACCEPT_ON_MS + env.longest_deadline_ms().max(3_000.0) + STOP_MORE_MS;
+    if config.handed_over {
+        // Whoever connects from now on is the new process's: the socket stays open there.
+        stop.turn_away();
+        closing.notify_one();
+        second.notify_one();
+        tokio::time::sleep(span(KEEP_IDLE_MS)).await;
+    } else {
+        tokio::time::sleep(span(ACCEPT_ON_MS)).await;
+        closing.notify_one();
+        second.notify_one();
+    }
     stop.begin();
-    let until = host.clock.now() + env.longest_deadline_ms().max(3_000.0) + STOP_MORE_MS;
     // A moment for connections that the machine had accepted and this process not yet.
     tokio::time::sleep(span(4.0 * STOP_LOOK_MS)).await;
     while (stop.open.get() > 0 || host.with(|engine| engine.owed()) > 0) && host.clock.now() < until {
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -104,6 +104,8 @@
 #[derive(Default)]
 pub struct Stop {
     stopping: Cell<bool>,
+    /// Connections end after their answer.
+    turning_away: Cell<bool>,
     /// Wakes connections that wait for a request.
     wake: Notify,
     /// Connections that are open.
@@ -111,8 +113,14 @@
 }
 
 impl Stop {
+    /// From now on connections end after their answer.
+    pub fn turn_away(&self) {
+        self.turning_away.set(true);
+    }
+
     /// From now on connections end after their answer, and those without an open request at once.
     pub fn begin(&self) {
+        self.turn_away();
         self.stopping.set(true);
         self.wake.notify_waiters();
     }
@@ -291,7 +299,7 @@
             },
         };
         let fault = answer.close;
-        answer.close |= !request.keep_alive || stop.stopping.get();
+        answer.close |= !request.keep_alive || stop.turning_away.get();
         let close = answer.close;
         write(host, limits, &mut link, answer).await?;
         if fault {
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -198,3 +198,40 @@
     assert!(u64::from_be_bytes(last) > 0, "from the last number that is known");
     assert!(proxy.alive(&mut proxy.connect()).starts_with("HTTP/1.1 200 OK"));
 }
+
+/// Guards an upgrade: a new process serves on the socket that the platform holds while the old one still does, the
+/// old one ends after SIGTERM with all it had answered, and nobody who connects meanwhile is turned away.
+#[test]
+fn a_new_process_takes_over_the_socket_that_was_handed_over() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let config = file("handed.json", &example().replace("127.0.0.1:5050", &format!("127.0.0.1:{port}")));
+    let start = || {
+        let socket = std::os::fd::OwnedFd::from(listener.try_clone().unwrap());
+        let script = "exec \"$0\" serve --config \"$1\" 3<&0 </dev/null";
+        let mut child = Command::new("sh")
+            .args(["-c", script, PROGRAM, config.to_str().unwrap()])
+            .env("NODE_INHERITED_FD", "3")
+            .stdin(Stdio::from(socket))
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let errors = BufReader::new(child.stderr.take().unwrap());
+        let mut running = Running { child, errors, port };
+        running.until("serves on");
+        running
+    };
+    let mut old = start();
+    let mut kept = old.connect();
+    assert!(old.alive(&mut kept).starts_with("HTTP/1.1 200 OK"));
+    let mut new = start();
+    old.signal("-TERM");
+    old.until("stops");
+    let last = old.alive(&mut kept);
+    assert!(last.starts_with("HTTP/1.1 200 OK") && last.contains("Connection: close"), "{last}");
+    assert!(new.alive(&mut new.connect()).starts_with("HTTP/1.1 200 OK"));
+    assert_eq!(old.child.wait().unwrap().code(), Some(0));
+    assert!(new.alive(&mut new.connect()).starts_with("HTTP/1.1 200 OK"));
+    new.signal("-USR1");
+    assert_ne!(new.until("clients").trim(), "clients 0");
+}
