A second address: health, figures, and maintenance of caches that outlives an upgrade

Design: a third front on the drivers that are there (wire/manage.rs), so deadlines and displaced silent callers come with it. Maintenance is told to the module as what it is to a member: it drains, and comes back as one that has just started (memory/maintenance.rs, engine list()); the module needs no new event. Not taken: a socket between the two processes, which one of them would have to outlive; counting figures at the drivers, which end a request in several places, where the engine's finish() is the one place that every answer passes. Seen before: 'node n0 was started beside itself and was not ready after 6 s', 4 of 4 calls unanswered. Checked: the log shows the new process serving on the handed socket within 10 ms; only the address was missing.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -7,12 +7,13 @@
 use crate::clock::{micros, millis, Clock};
 use crate::memory::attempts::{Attempt, AttemptId, Attempts, Stage};
 use crate::memory::connections::{Bounds, ConnId, Connections, Place};
-use crate::memory::counters::Counters;
+use crate::memory::counters::{Counters, Tallies};
 use crate::memory::deadlines::Deadlines;
+use crate::memory::maintenance::{Maintenance, Mark};
 use crate::memory::requests::{Ask, Final, NotTaken, Requests};
 use crate::memory::roster::Roster;
 use crate::settings::Env;
-use crate::wire::frames::{News, Numbered};
+use crate::wire::frames::{News, Numbered, Target};
 use crate::wire::lines::{Command, Get, Reply, Word};
 use crate::{Action, Event, MemberId, Note, RequestId, Router, Verdict};
 use std::collections::VecDeque;
@@ -80,10 +81,12 @@
     router: Router,
     /// Counters of what passed.
     pub counters: Counters,
+    tallies: Tallies,
     requests: Requests,
     attempts: Attempts,
     connections: Connections,
     roster: Roster,
+    maintenance: Maintenance,
     timers: Deadlines<u64>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -102,10 +105,12 @@
             env,
             router,
             counters: Counters::default(),
+            tallies: Tallies::default(),
             requests: Requests::new(bounds.requests),
             attempts: Attempts::default(),
             connections: Connections::new(bounds.connections),
             roster: Roster::default(),
+            maintenance: Maintenance::default(),
             timers: Deadlines::default(),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -146,14 +151,8 @@
         match item.news {
             News::Quiet => {}
             News::Roster { full, targets } => {
-                let entries: Result<Vec<_>, _> = targets.iter().map(|t| self.env.listing(&t.row)).collect();
-                // The codec makes only states that the settings type knows.
-                let Ok(entries) = entries else { return };
-                let gone = self.roster.update(full, &targets);
-                // The module learns of it first: asked anew before, it would name the same member again.
-                self.events.push_back(Event::Members { full, entries });
-                self.run();
-                gone.into_iter().for_each(|member| self.retire(member));
+                self.roster.hear(full, &targets);
+                self.list(full, targets);
             }
             News::Purge { object, group, issued } => {
                 let ago = micros(self.clock.now() - issued);
@@ -167,6 +166,64 @@
         self.run();
     }
 
+    /// Takes a list, or changes of it, as maintenance by hand leaves it.
+    fn list(&mut self, full: bool, mut targets: Vec<Target>) {
+        targets.iter_mut().for_each(|target| self.maintenance.apply(&mut target.row));
+        let entries: Result<Vec<_>, _> = targets.iter().map(|t| self.env.listing(&t.row)).collect();
+        // The codec makes only states that the settings type knows.
+        let Ok(entries) = entries else { return };
+        let gone = self.roster.update(full, &targets);
+        // The module learns of it first: asked anew before, it would name the same member again.
+        self.events.push_back(Event::Members { full, entries });
+        self.run();
+        gone.into_iter().for_each(|member| self.retire(member));
+        self.run();
+    }
+
+    /// Takes a member out of use by hand, or puts it back; false where nobody has that id.
+    pub fn maintain(&mut self, id: MemberId, out: bool) -> bool {
+        if self.roster.listed(id).is_none() && !self.maintenance.is_out(id) {
+            return false;
+        }
+        self.adopt([(id, Mark { out, at_ms: self.clock.now() })]);
+        true
+    }
+
+    /// Takes words on members that another process of this proxy may have been given.
+    pub fn adopt(&mut self, marks: impl IntoIterator<Item = (MemberId, Mark)>) {
+        for (id, mark) in marks {
+            if self.maintenance.mark(id, mark) {
+                self.counters.maintenance += 1;
+                self.roster.listed(id).cloned().into_iter().for_each(|target| self.list(false, vec![target]));
+            }
+        }
+    }
+
+    /// What operators said of members.
+    pub fn maintenance(&self) -> &Maintenance {
+        &self.maintenance
+    }
+
+    /// The figures that the platform reads.
+    pub fn figures(&mut self) -> String {
+        for name in (0..).map_while(|k| self.env.class_name(k)) {
+            self.tallies.of(name);
+        }
+        let pool: Vec<MemberId> =
+            self.roster.all_listed().filter(|t| self.env.is_cache(&t.row)).map(|t| t.row.cache).collect();
+        let out = pool.iter().filter(|id| self.maintenance.is_out(**id)).count();
+        let avoided = out + self.router.avoided(micros(self.clock.now()));
+        let figures = [
+            ("active", self.requests.len() as u64),
+            ("pool_size", pool.len() as u64),
+            ("pool_ejected", avoided as u64),
+            ("config_applied_total", self.counters.reloads),
+            ("config_rejected_total", self.counters.reload_faults),
+        ];
+        let lines = figures.map(|(name, figure)| format!("app_{name} {figure}\n"));
+        self.tallies.lines() + &lines.concat()
+    }
+
     /// Takes a request in. From now on it gets exactly one [`Effect::Answer`], unless its client leaves.
     pub fn request(&mut self, ask: Ask) -> Result<(), NotTaken> {
         let event = Event::Request {
@@ -178,7 +235,15 @@
             size_kb: ask.size_kb,
             give_up_at: micros(ask.give_up_ms),
         };
-        self.requests.take(ask)?;
+        let class = ask.class;
+        if let Err(why) = self.requests.take(ask) {
+            let tally = self.tallies.of(self.env.class_name(class).unwrap_or_default());
+            match why {
+                NotTaken::Duplicate => tally.errors += 1,
+                NotTaken::Full => tally.shed += 1,
+            }
+            return Err(why);
+        }
         self.counters.requests += 1;
         self.events.push_back(event);
         self.run();
@@ -339,6 +404,7 @@
     }
 
     fn tidy(&mut self, now: f64) {
+        self.maintenance.tidy(now);
         let idle = self.env.keepalive_ms() * IDLE_SHARE;
         for (conn, c) in self.connections.iter_mut() {
             c.closing |= now - c.used_ms > idle && c.load() == 0;
@@ -483,6 +549,7 @@
         c.out.insert(id.0, id);
         attempt.stage = Stage::Written(now);
         self.counters.attempts_written += 1;
+        self.tallies.of(self.env.class_name(ask.class)?).tries += 1;
         Some(Get {
             id: ask.id_text.clone(),
             class: self.env.class_name(ask.class)?.to_string(),
@@ -504,14 +571,16 @@
 
     /// Gives a request its final answer, if it is still owed one.
     fn finish(&mut self, id: RequestId, answer: Final) {
-        if self.requests.end(id).is_some() {
-            let counter = match &answer {
-                Final::Served { .. } => &mut self.counters.served,
-                Final::Same { .. } => &mut self.counters.unchanged,
-                Final::Refused { .. } => &mut self.counters.refused,
-                Final::Failed { .. } => &mut self.counters.failed,
+        if let Some(ask) = self.requests.end(id) {
+            let tally = self.tallies.of(self.env.class_name(ask.class).unwrap_or_default());
+            let (counter, figure) = match &answer {
+                Final::Served { .. } => (&mut self.counters.served, &mut tally.ok),
+                Final::Same { .. } => (&mut self.counters.unchanged, &mut tally.ok),
+                Final::Refused { .. } => (&mut self.counters.refused, &mut tally.shed),
+                Final::Failed { .. } => (&mut self.counters.failed, &mut tally.errors),
             };
             *counter += 1;
+            *figure += 1;
             self.effects.push_back(Effect::Answer(id, answer));
         }
     }
--- a/src/lifecycle/config.rs
+++ b/src/lifecycle/config.rs
@@ -57,6 +57,9 @@
     pub limits: MachineLimits,
     /// Where the bulletin listens.
     bulletin: String,
+    /// Where the platform and its staff connect, if anywhere.
+    #[serde(default)]
+    mgmt: Option<String>,
     /// The events of the start.
     #[serde(default)]
     pub known: Known,
@@ -110,6 +113,7 @@
         let field = |field, why| ConfigError::Field { path: path.to_path_buf(), field, why };
         address(&config.listen).map_err(|why| field("listen", why))?;
         address(&config.bulletin).map_err(|why| field("bulletin", why))?;
+        config.mgmt().map_err(|why| field("mgmt", why))?;
         config.seed().map_err(|why| field("seed", why))?;
         config.settings.check().map_err(|why| field("settings", why))?;
         let events = config.known.events().map_err(|why| field("known", why))?;
@@ -137,6 +141,13 @@
         address(&self.bulletin)
     }
 
+    /// Where the platform and its staff connect: as `NODE_MGMT` says, since a new process may be given the file of
+    /// the old one with an address of its own, else as the file says.
+    pub fn mgmt(&self) -> Result<Option<SocketAddr>, String> {
+        let named = std::env::var("NODE_MGMT").ok().filter(|text| !text.is_empty());
+        named.or_else(|| self.mgmt.clone()).as_deref().map(address).transpose()
+    }
+
     /// Seed of what is random.
     pub fn seed(&self) -> Result<u64, String> {
         match self.seed.as_str() {
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -3,4 +3,5 @@
 pub mod config;
 pub mod front;
 pub mod inherit;
+pub mod maintenance;
 pub mod serve;
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -3,12 +3,14 @@
 use super::config::Config;
 use super::front::{keep_keys, FrontConfig};
 use super::inherit;
+use super::maintenance::Store;
 use crate::clock::{span, Clock};
 use crate::engine::host::Host;
 use crate::engine::{Engine, EngineBounds};
 use crate::memory::connections::Bounds;
 use crate::wire::bulletin;
 use crate::wire::client::{accept, Front, Stop};
+use crate::wire::manage::Manage;
 use crate::wire::platform::{self, Platform};
 use crate::wire::vrrp;
 use std::future::Future;
@@ -99,6 +101,26 @@
     let platform: Rc<dyn Front> = Rc::new(Platform::new(env.clone(), platform::limits(connections)));
     let (stop, closing) = (Rc::new(Stop::default()), Rc::new(Notify::new()));
     host.spawn("accepting", accept(host.clone(), platform, listener, stop.clone(), closing.clone()));
+    if let Some(mgmt) = config.mgmt().map_err(|why| ServeError::Field("mgmt", why))? {
+        let store = Store::of(&config.name);
+        // Before anything is served: what is out of use stays so across an upgrade.
+        store.take_over(&host);
+        let keep = store.clone();
+        let front: Rc<dyn Front> = Rc::new(Manage::new(Box::new(move |host| {
+            // What the other process was told meanwhile is kept.
+            keep.take_over(host);
+            keep.write(host)
+        })));
+        let listener = bind(mgmt).await?;
+        // It is open until the very end, so no stop counts its callers.
+        let (open, never) = Default::default();
+        host.spawn("calls", accept(host.clone(), front, listener, open, never));
+        always(&host, "following maintenance", {
+            let host = host.clone();
+            move || store.clone().follow(host.clone())
+        });
+        eprintln!("calicobeam: calls are taken on {mgmt}");
+    }
     let reload = Rc::new(Notify::new());
     let second = Rc::new(Notify::new());
     if let Some(front) = front {
@@ -169,6 +191,7 @@
     let read = config.again().map_err(|e| e.to_string());
     match read.and_then(|fresh| fresh.bulletin()) {
         Ok(address) => {
+            host.with(|engine| engine.counters.reloads += 1);
             let moved = bulletin.send_if_modified(|old| std::mem::replace(old, address) != address);
             eprintln!("calicobeam: configuration read again; the bulletin is at {address}, moved: {moved}");
         }
--- a/src/memory/counters.rs
+++ b/src/memory/counters.rs
@@ -1,6 +1,48 @@
 //! Counters of what is taken in, sent and answered, by kind.
 
+use std::collections::BTreeMap;
 use std::fmt;
+use std::fmt::Write as _;
+
+/// What became of one class's requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Served.
+    pub ok: u64,
+    /// Refused.
+    pub shed: u64,
+    /// Failed.
+    pub errors: u64,
+    /// Attempts written to members.
+    pub tries: u64,
+}
+
+/// Tallies by the class's name, since the start of the process.
+#[derive(Clone, Debug, Default)]
+pub struct Tallies(BTreeMap<String, Tally>);
+
+impl Tallies {
+    /// A class's tally; from now on it is listed.
+    pub fn of(&mut self, class: &str) -> &mut Tally {
+        if !self.0.contains_key(class) {
+            self.0.insert(class.to_string(), Tally::default());
+        }
+        self.0.entry(class.to_string()).or_default()
+    }
+
+    /// As lines of `NAME{kind="CLASS"} NUMBER`.
+    pub fn lines(&self) -> String {
+        let mut out = String::new();
+        for (class, tally) in &self.0 {
+            let figures =
+                [("ok", tally.ok), ("shed", tally.shed), ("errors", tally.errors), ("tries", tally.tries)];
+            for (name, figure) in figures {
+                let _ = writeln!(out, "app_{name}_total{{kind=\"{class}\"}} {figure}");
+            }
+        }
+        out
+    }
+}
 
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
@@ -90,8 +132,12 @@
     bulletin_faults,
     /// Moves of the bulletin to another address.
     bulletin_moves,
+    /// Configurations read again on SIGHUP and taken.
+    reloads,
     /// Configurations read again on SIGHUP that could not be used.
     reload_faults,
+    /// Members taken out of use by hand, or put back.
+    maintenance,
     /// Events of the bulletin.
     bulletin_events,
     /// VRRP advertisements sent.
--- /dev/null
+++ b/src/memory/maintenance.rs
@@ -0,0 +1,81 @@
+//! Members that operators have taken out of use by hand, and when they put them back.
+
+use crate::settings::Row;
+use crate::MemberId;
+use std::collections::BTreeMap;
+
+/// How long a return is remembered, in milliseconds: longer than any member takes to be warm.
+const BACK_MS: f64 = 120_000.0;
+
+/// The last word on a member.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Mark {
+    /// It is out of use; else it was put back.
+    pub out: bool,
+    /// Since when, in Unix milliseconds.
+    pub at_ms: f64,
+}
+
+/// All such words, by member.
+#[derive(Clone, Debug, Default)]
+pub struct Maintenance(BTreeMap<MemberId, Mark>);
+
+impl Maintenance {
+    /// Whether a member is out of use.
+    pub fn is_out(&self, id: MemberId) -> bool {
+        self.0.get(&id).is_some_and(|mark| mark.out)
+    }
+
+    /// Takes a word on a member; tells whether its use changes. A second call that says the same changes nothing, so
+    /// one call back is enough for two calls out. Of two words the later one counts.
+    pub fn mark(&mut self, id: MemberId, mark: Mark) -> bool {
+        let old = self.0.get(&id).copied();
+        if self.is_out(id) == mark.out || old.is_some_and(|old| old.at_ms > mark.at_ms) {
+            return false;
+        }
+        self.0.insert(id, mark);
+        true
+    }
+
+    /// Forgets returns of long ago.
+    pub fn tidy(&mut self, now: f64) {
+        self.0.retain(|_, mark| mark.out || now < mark.at_ms + BACK_MS);
+    }
+
+    /// All of them.
+    pub fn iter(&self) -> impl Iterator<Item = (MemberId, Mark)> + '_ {
+        self.0.iter().map(|(id, mark)| (*id, *mark))
+    }
+
+    /// A member's line as this proxy has to take it. Guards the rule on drains: what is out of use drains, whatever
+    /// the list says; and the rule on cold starts: it was restarted meanwhile, so it is cold when it returns.
+    pub fn apply(&self, row: &mut Row) {
+        match self.0.get(&row.cache) {
+            Some(mark) if mark.out && row.lifecycle == "live" => row.lifecycle = "quiescing".into(),
+            Some(mark) if !mark.out => {
+                row.ready_at_us = row.ready_at_us.max(crate::clock::micros(mark.at_ms));
+            }
+            _ => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_later_word_counts_and_a_return_is_forgotten_in_time() {
+        let mut all = Maintenance::default();
+        let at = |out, at_ms| Mark { out, at_ms };
+        assert!(!all.mark(7, at(false, 1.0)), "it was in use");
+        assert!(all.mark(7, at(true, 2.0)) && all.is_out(7));
+        assert!(!all.mark(7, at(true, 3.0)));
+        assert!(!all.mark(7, at(false, 1.0)), "an older word");
+        assert!(all.mark(7, at(false, 4.0)) && !all.is_out(7));
+        all.tidy(4.0 + BACK_MS - 1.0);
+        assert_eq!(all.iter().count(), 1);
+        all.tidy(4.0 + BACK_MS);
+        assert_eq!(all.iter().count(), 0);
+    }
+}
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -5,6 +5,7 @@
 pub mod connections;
 pub mod counters;
 pub mod deadlines;
+pub mod maintenance;
 pub mod places;
 pub mod requests;
 pub mod roster;
--- a/src/memory/roster.rs
+++ b/src/memory/roster.rs
@@ -8,10 +8,36 @@
 /// The list as last told.
 #[derive(Debug, Default)]
 pub struct Roster {
+    /// Members that are listed, as told, whatever their state.
+    listed: HashMap<MemberId, Target>,
     live: HashMap<MemberId, SocketAddrV4>,
 }
 
 impl Roster {
+    /// Notes a list or its changes as told.
+    pub fn hear(&mut self, full: bool, targets: &[Target]) {
+        if full {
+            self.listed.clear();
+        }
+        for target in targets {
+            if target.row.lifecycle == "dead" {
+                self.listed.remove(&target.row.cache);
+            } else {
+                self.listed.insert(target.row.cache, target.clone());
+            }
+        }
+    }
+
+    /// A member's line as last told.
+    pub fn listed(&self, id: MemberId) -> Option<&Target> {
+        self.listed.get(&id)
+    }
+
+    /// All of them.
+    pub fn all_listed(&self) -> impl Iterator<Item = &Target> {
+        self.listed.values()
+    }
+
     /// Takes a list or its changes; tells which members may get nothing new from now on, or have moved.
     pub fn update(&mut self, full: bool, targets: &[Target]) -> Vec<MemberId> {
         let before: Vec<(MemberId, SocketAddrV4)> = self.live.iter().map(|(id, at)| (*id, *at)).collect();
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -479,6 +479,13 @@
         able.map(|(id, m)| (*id, self.warmth(now, m).min(health(m)).max(0.0))).collect()
     }
 
+    /// How many caches of the location get nothing new though they are listed as live.
+    pub fn avoided(&self, now: Micros) -> usize {
+        let shares = self.shares(now, Role::Cache);
+        let live = |m: &&Member| m.line.role == Role::Cache && m.line.life == Life::Live;
+        self.members.values().filter(live).count() - shares.iter().filter(|(_, share)| *share > 0.0).count()
+    }
+
     /// Any router's first item would fit a cold member's budget; were all to send theirs at once, the sum
     /// would not. So each begins at a random point of the time that its part of the budget takes for one.
     fn debt(&mut self) -> f64 {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -303,6 +303,12 @@
         }
     }
 
+    /// Whether a line is that of a cache, in whatever location.
+    pub fn is_cache(&self, row: &Row) -> bool {
+        let upper = [self.family_info.root_kind, self.family_info.mid_kind];
+        !upper.into_iter().any(|kind| self.sku(kind) == Some(&row.model))
+    }
+
     /// One line of a list, in the library's words.
     pub fn listing(&self, row: &Row) -> Result<Listing, String> {
         let zone = self.zone(&row.zone);
--- a/src/wire/http.rs
+++ b/src/wire/http.rs
@@ -102,6 +102,7 @@
         413 => "Content Too Large",
         416 => "Range Not Satisfiable",
         431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
         501 => "Not Implemented",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
--- /dev/null
+++ b/src/wire/manage.rs
@@ -0,0 +1,93 @@
+//! The second address, for the platform and its staff: one call on a connection, and a 2xx means yes.
+
+use super::client::{Context, Front, Intake, Limits};
+use super::http::{HttpAnswer, HttpRequest};
+use super::lines::member_id;
+use crate::engine::host::Host;
+use crate::memory::requests::{Final, NotTaken};
+use std::rc::Rc;
+
+/// Connections at once. At the cap a caller that says nothing gives its place to the next.
+const CALLERS: usize = 16;
+/// Wait for a whole call, in milliseconds.
+const CALL_MS: f64 = 6_000.0;
+/// The longest body of a call; what it says is not looked at.
+const BODY_MOST: usize = 4_096;
+
+/// Writes maintenance down, so that it outlives this process.
+pub type Keep = Box<dyn Fn(&Rc<Host>) -> Result<(), std::io::Error>>;
+
+/// The front of the second address.
+pub struct Manage {
+    limits: Limits,
+    keep: Keep,
+}
+
+impl Manage {
+    /// A front that writes maintenance down by `keep`.
+    pub fn new(keep: Keep) -> Self {
+        let (connections, body_bytes) = (CALLERS, BODY_MOST);
+        let (first_ms, idle_ms, head_ms, body_ms) = (CALL_MS, CALL_MS, CALL_MS, CALL_MS);
+        let limits =
+            Limits { connections, first_ms, idle_ms, head_ms, body_ms, body_bytes, ..Limits::default() };
+        Self { limits, keep }
+    }
+
+    fn answer(&self, host: &Rc<Host>, request: &HttpRequest) -> HttpAnswer {
+        let path = request.target.split('?').next().unwrap_or_default();
+        let steps: Vec<&str> = path.split('/').skip(1).collect();
+        let allowed = match steps[..] {
+            ["healthcheck" | "stats"] => "GET",
+            ["pop-caches", _, "maint" | "ready"] => "POST",
+            _ => return HttpAnswer::status(404),
+        };
+        if request.method != allowed {
+            return HttpAnswer::status(405).with("Allow", allowed);
+        }
+        match steps[..] {
+            ["pop-caches", id, word] => match member_id(id) {
+                Some(id) => self.maintain(host, id, word == "maint"),
+                None => HttpAnswer::status(404),
+            },
+            ["stats"] => text(host.with(|engine| engine.figures())),
+            _ => text("ok\n".into()),
+        }
+    }
+
+    /// Takes a member out of use, or puts it back; a yes says that this holds already, and is written down.
+    fn maintain(&self, host: &Rc<Host>, id: u32, out: bool) -> HttpAnswer {
+        if !host.with(|engine| engine.maintain(id, out)) {
+            return HttpAnswer::status(404);
+        }
+        match (self.keep)(host) {
+            Ok(()) => text("ok\n".into()),
+            Err(error) => {
+                eprintln!("calicobeam: maintenance can't be written down: {error}");
+                HttpAnswer::status(500)
+            }
+        }
+    }
+}
+
+fn text(body: String) -> HttpAnswer {
+    let answer = HttpAnswer { body: body.into(), ..HttpAnswer::status(200) };
+    answer.with("Content-Type", "text/plain; charset=utf-8")
+}
+
+impl Front for Manage {
+    fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    fn take(&self, host: &Rc<Host>, request: &HttpRequest, _: f64) -> Intake {
+        Intake::Now(HttpAnswer { close: true, ..self.answer(host, request) })
+    }
+
+    fn word(&self, _: &Context, _: Final) -> HttpAnswer {
+        HttpAnswer::closing(404)
+    }
+
+    fn not_taken(&self, _: NotTaken) -> HttpAnswer {
+        HttpAnswer::closing(404)
+    }
+}
