SIGHUP takes the settings too: classes come and go, and a file that lost a part is turned down

Design: each class has a place for good (settings.rs after()): what a new file leaves as it was keeps its place, what it drops or changes is retired there until nothing uses it, so requests under way keep their class and the module keeps what it learned. Not taken: a table of settings by request, which every decision would have to look up. Checked: the log shows the file read at each SIGHUP without a fault, and two broken files turned down. Guarded besides: keys that are absent at the start read as defaults, so a file without sendCap or rules would have been taken; now a file that lacks a key of the first one is turned down, and so are a deadline or attempts of 0.

--- a/src/engine/host.rs
+++ b/src/engine/host.rs
@@ -4,6 +4,7 @@
 use crate::clock::{span, Clock};
 use crate::memory::connections::ConnId;
 use crate::memory::requests::{Ask, Final, NotTaken};
+use crate::settings::Env;
 use crate::wire::cache;
 use crate::RequestId;
 use std::cell::RefCell;
@@ -41,6 +42,11 @@
         result
     }
 
+    /// The settings as they are by now.
+    pub fn env(&self) -> Rc<Env> {
+        self.engine.borrow().env()
+    }
+
     fn carry_out(self: &Rc<Self>) {
         loop {
             let effect = self.engine.borrow_mut().take_effect();
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -124,6 +124,19 @@
         self.effects.pop_front()
     }
 
+    /// The settings as they are by now.
+    pub fn env(&self) -> Rc<Env> {
+        self.env.clone()
+    }
+
+    /// Takes other settings. Requests under way keep their class.
+    pub fn retune(&mut self, fresh: Env) {
+        self.env = Rc::new(fresh.after(&self.env, |class| self.requests.uses(class)));
+        self.router.retune(self.env.settings());
+        let targets = self.roster.all_listed().cloned().collect();
+        self.list(true, targets);
+    }
+
     /// How many requests owe an answer.
     pub fn owed(&self) -> usize {
         self.requests.len()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -35,7 +35,7 @@
 }
 
 /// A request class.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Answers within this span earn the full worth.
     pub aim: Micros,
--- a/src/lifecycle/config.rs
+++ b/src/lifecycle/config.rs
@@ -3,6 +3,8 @@
 use crate::settings::Env;
 use crate::wire::frames::Known;
 use serde::Deserialize;
+use simd_json::prelude::*;
+use simd_json::OwnedValue;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use thiserror::Error;
@@ -26,6 +28,14 @@
         /// What, where.
         error: String,
     },
+    /// A key is gone that the file had at the start.
+    #[error("{}: key `{key}` is gone", path.display())]
+    Lost {
+        /// The file.
+        path: PathBuf,
+        /// The key.
+        key: String,
+    },
     /// A field's value can't be used.
     #[error("{}: field `{field}`: {why}", path.display())]
     Field {
@@ -72,6 +82,9 @@
     /// The file that it was read from.
     #[serde(skip)]
     path: PathBuf,
+    /// The file's keys, as its values stood.
+    #[serde(skip)]
+    keys: OwnedValue,
 }
 
 /// What the machine allows.
@@ -96,6 +109,23 @@
         .map_err(|error| ConfigError::Malformed { path: path.to_path_buf(), error: error.to_string() })
 }
 
+/// A key of `old` that `new` lacks. Items of a list may come and go, but each has the keys that all of them had.
+fn lost(old: &OwnedValue, new: &OwnedValue) -> Option<String> {
+    if let Some(old) = old.as_object() {
+        return old.iter().filter(|(_, value)| !value.is_null()).find_map(|(key, value)| {
+            match new.get(key.as_str()).filter(|value| !value.is_null()) {
+                None => Some(key.clone()),
+                Some(there) => lost(value, there).map(|below| format!("{key}.{below}")),
+            }
+        });
+    }
+    let (old, new) = (old.as_array()?, new.as_array()?);
+    let all = |key: &String| old.iter().all(|item| item.get(key.as_str()).is_some());
+    let keys: Vec<&String> = old.first()?.as_object()?.keys().filter(|key| all(key)).collect();
+    new.iter()
+        .find_map(|item| keys.iter().find(|key| item.get(key.as_str()).is_none()).map(|key| (*key).clone()))
+}
+
 /// An IPv4 address that is one host's own.
 pub fn address(text: &str) -> Result<SocketAddr, String> {
     match text.parse::<SocketAddr>() {
@@ -108,7 +138,13 @@
 impl Config {
     /// Reads and checks a configuration.
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
+        let mut keys: OwnedValue = read_json(path)?;
+        // What is known is long, and is asked for nothing but its own types.
+        if let Some(known) = keys.get_mut("known") {
+            *known = OwnedValue::default();
+        }
         let mut config: Self = read_json(path)?;
+        config.keys = keys;
         config.path = path.to_path_buf();
         let field = |field, why| ConfigError::Field { path: path.to_path_buf(), field, why };
         address(&config.listen).map_err(|why| field("listen", why))?;
@@ -126,9 +162,14 @@
         Ok(config)
     }
 
-    /// Reads and checks the same file as it stands by now.
+    /// Reads and checks the same file as it stands by now. Guards a running proxy against a file that lost a part:
+    /// what may be absent at the start would read as its default.
     pub fn again(&self) -> Result<Self, ConfigError> {
-        Self::read(&self.path)
+        let fresh = Self::read(&self.path)?;
+        match lost(&self.keys, &fresh.keys) {
+            Some(key) => Err(ConfigError::Lost { path: self.path.clone(), key }),
+            None => Ok(fresh),
+        }
     }
 
     /// Where clients connect.
--- a/src/lifecycle/front.rs
+++ b/src/lifecycle/front.rs
@@ -114,11 +114,11 @@
     }
 
     /// The front that the file describes.
-    pub fn front(&self, env: Rc<crate::settings::Env>, salt: u64) -> Result<SignedUrls, String> {
+    pub fn front(&self, salt: u64) -> Result<SignedUrls, String> {
         let (_, keys) = read_keys(&self.keys)?;
         let keys = KeyRing::new(keys, self.overlap_ms);
         let verifier = Verifier { keys, issuer: self.issuer.clone(), leeway_ms: self.leeway_ms };
-        Ok(SignedUrls::new(env, self.limits.clone(), self.scheme.clone(), verifier, salt))
+        Ok(SignedUrls::new(self.limits.clone(), self.scheme.clone(), verifier, salt))
     }
 }
 
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -80,7 +80,7 @@
     config.handed_over = handed.is_some();
     let clock = Clock::system();
     let extra = front.as_ref().map_or(0, FrontConfig::connections);
-    let (engine, env) = engine(&config, &clock, extra)?;
+    let (engine, _) = engine(&config, &clock, extra)?;
     let listen = config.listen().map_err(|why| ServeError::Field("listen", why))?;
     let bulletin = config.bulletin().map_err(|why| ServeError::Field("bulletin", why))?;
     let (bulletin, moves) = watch::channel(bulletin);
@@ -98,7 +98,7 @@
         None => bind(listen).await?,
     };
     let connections = config.limits.sockets * 2 / 5;
-    let platform: Rc<dyn Front> = Rc::new(Platform::new(env.clone(), platform::limits(connections)));
+    let platform: Rc<dyn Front> = Rc::new(Platform::new(platform::limits(connections)));
     let (stop, closing) = (Rc::new(Stop::default()), Rc::new(Notify::new()));
     host.spawn("accepting", accept(host.clone(), platform, listener, stop.clone(), closing.clone()));
     if let Some(mgmt) = config.mgmt().map_err(|why| ServeError::Field("mgmt", why))? {
@@ -125,7 +125,7 @@
     let second = Rc::new(Notify::new());
     if let Some(front) = front {
         let listen = front.listen().map_err(|why| ServeError::Field("listen", why))?;
-        let signed = front.front(env.clone(), host.clock.now().to_bits() ^ seed);
+        let signed = front.front(host.clock.now().to_bits() ^ seed);
         let signed = Rc::new(signed.map_err(|why| ServeError::Field("keys", why))?);
         let listener = bind(listen).await?;
         host.spawn("accepting", accept(host.clone(), signed.clone(), listener, stop.clone(), second.clone()));
@@ -140,8 +140,8 @@
         move || host.clone().keep_time()
     });
     always(&host, "the bulletin", {
-        let (host, env) = (host.clone(), env.clone());
-        move || bulletin::keep(host.clone(), env.clone(), moves.clone())
+        let host = host.clone();
+        move || bulletin::keep(host.clone(), moves.clone())
     });
     let router_stop = Rc::new(Notify::new());
     if let Some(set) = router {
@@ -163,7 +163,8 @@
     }
     eprintln!("calicobeam: {} stops", config.name);
     router_stop.notify_one();
-    let until = host.clock.now() + ACCEPT_ON_MS + env.longest_deadline_ms().max(3_000.0) + STOP_MORE_MS;
+    let until =
+        host.clock.now() + ACCEPT_ON_MS + host.env().longest_deadline_ms().max(3_000.0) + STOP_MORE_MS;
     if config.handed_over {
         // Whoever connects from now on is the new process's: the socket stays open there.
         stop.turn_away();
@@ -185,13 +186,16 @@
     Ok(())
 }
 
-/// Reads the configuration again and moves the bulletin's link where it says another address. Guards a running
-/// proxy against a file that can't be used: all stays as it was.
+/// Reads the configuration again, takes its settings and moves the bulletin's link where it says another address.
+/// Guards a running proxy against a file that can't be used: all stays as it was.
 pub fn read_again(host: &Rc<Host>, config: &Config, bulletin: &watch::Sender<SocketAddr>) {
     let read = config.again().map_err(|e| e.to_string());
-    match read.and_then(|fresh| fresh.bulletin()) {
-        Ok(address) => {
-            host.with(|engine| engine.counters.reloads += 1);
+    match read.and_then(|fresh| Ok((fresh.bulletin()?, fresh.settings))) {
+        Ok((address, settings)) => {
+            host.with(|engine| {
+                engine.counters.reloads += 1;
+                engine.retune(settings);
+            });
             let moved = bulletin.send_if_modified(|old| std::mem::replace(old, address) != address);
             eprintln!("calicobeam: configuration read again; the bulletin is at {address}, moved: {moved}");
         }
--- a/src/memory/requests.rs
+++ b/src/memory/requests.rs
@@ -111,6 +111,11 @@
         Some(*next - 1)
     }
 
+    /// Whether a request of this class is open.
+    pub fn uses(&self, class: usize) -> bool {
+        self.open.values().any(|(ask, _)| ask.class == class)
+    }
+
     /// When the next request's time is over.
     pub fn next_due(&mut self) -> Option<f64> {
         self.due.next(|id, at| Self::stands(&self.open, id, at))
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -242,6 +242,14 @@
     late: Aged,
 }
 
+impl Pace {
+    /// What a class is taken to need before any answer.
+    fn of(class: &Class) -> Self {
+        let (aim, in_time, late) = (class.aim as f64, Aged::default(), Aged::default());
+        Self { mean: 0.5 * aim / BASE_TIME, dev: 0.25 * aim / BASE_TIME, work: 0.5 * aim, in_time, late }
+    }
+}
+
 /// The decisions of one router. See the crate's page for how to drive it.
 pub struct Router {
     set: Settings,
@@ -286,10 +294,6 @@
 impl Router {
     /// A router that knows nothing but its settings. The seed feeds all that is random.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let pace = settings.classes.iter().map(|c| {
-            let (aim, in_time, late) = (c.aim as f64, Aged::default(), Aged::default());
-            Pace { mean: 0.5 * aim / BASE_TIME, dev: 0.25 * aim / BASE_TIME, work: 0.5 * aim, in_time, late }
-        });
         Self {
             rng: seed,
             members: BTreeMap::new(),
@@ -299,7 +303,7 @@
             purges: HashMap::new(),
             counts: Default::default(),
             counts_since: 0,
-            pace: pace.collect(),
+            pace: settings.classes.iter().map(Pace::of).collect(),
             retries: RETRY_CAP,
             hits: Aged::default(),
             fills: Aged::default(),
@@ -308,6 +312,17 @@
         }
     }
 
+    /// Takes other settings. A class at a place of the list that it had keeps what was learned of it.
+    pub fn retune(&mut self, settings: Settings) {
+        let learned = self.set.classes.iter().zip(&self.pace).map(Some).chain(std::iter::repeat(None));
+        let paces = settings.classes.iter().zip(learned).map(|(class, old)| match old {
+            Some((same, pace)) if same == class => *pace,
+            _ => Pace::of(class),
+        });
+        self.pace = paces.collect();
+        self.set = settings;
+    }
+
     /// Takes one event and appends what is to be done, in order.
     pub fn handle(&mut self, now: Micros, event: &Event, actions: &mut Vec<Action>) {
         match event {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -62,10 +62,13 @@
     weight_kind: String,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(rename_all = "camelCase")]
 struct EnvClass {
     name: String,
+    /// No longer in the settings: it stays for what was asked of it before.
+    #[serde(skip)]
+    retired: bool,
     #[serde(default, deserialize_with = "lenient")]
     aim_stretch: f64,
     deadline_us: u64,
@@ -151,9 +154,47 @@
         self.skus.get(usize::try_from(place?).ok()?).map(String::as_str)
     }
 
+    /// These settings in the place of `old`, in which each class that they leave as it was keeps its place, so that
+    /// requests under way keep theirs. What they drop or change is retired there; only a place that was retired
+    /// before, and that nothing uses, goes to another class.
+    pub fn after(mut self, old: &Self, used: impl Fn(usize) -> bool) -> Self {
+        let mut fresh: Vec<_> = (0..self.classes.len()).map(|k| Some(self.line(k))).collect();
+        let mut lines: Vec<_> = (0..old.classes.len()).map(|k| old.line(k)).collect();
+        let mut free = Vec::new();
+        for (k, line) in lines.iter_mut().enumerate() {
+            let retired = std::mem::replace(&mut line.0.retired, false);
+            match fresh.iter_mut().find(|other| other.as_ref() == Some(&*line)) {
+                Some(same) => *same = None,
+                None => line.0.retired = true,
+            }
+            if retired && line.0.retired && !used(k) {
+                free.push(k);
+            }
+        }
+        for line in fresh.into_iter().flatten() {
+            match free.pop() {
+                Some(k) => lines[k] = line,
+                None => lines.push(line),
+            }
+        }
+        let family = &mut self.family_info;
+        family.max_age_us = lines.iter().map(|line| line.1).collect();
+        family.older_by_us = lines.iter().map(|line| line.2).collect();
+        family.uncached = lines.iter().map(|line| line.3).collect();
+        self.classes = lines.into_iter().map(|line| line.0).collect();
+        self
+    }
+
+    /// All that is said of the class at a place.
+    fn line(&self, k: usize) -> (EnvClass, u64, u64, bool) {
+        let fam = &self.family_info;
+        let age = |ages: &[u64]| ages.get(k).copied().unwrap_or(0);
+        (self.classes[k].clone(), age(&fam.max_age_us), age(&fam.older_by_us), self.is_write(k))
+    }
+
     /// Place of a class by its name.
     pub fn class(&self, name: &str) -> Option<usize> {
-        self.classes.iter().position(|c| c.name == name)
+        self.classes.iter().position(|c| c.name == name && !c.retired)
     }
 
     /// Name of the class at a place.
@@ -219,7 +260,13 @@
         if self.classes.is_empty() {
             return Err("`classes` is empty".into());
         }
-        for class in &self.classes {
+        if self.policy_limits.send_cap == 0 {
+            return Err("`policyLimits.sendCap` is 0".into());
+        }
+        for (k, class) in self.classes.iter().enumerate() {
+            if self.classes[..k].iter().any(|other| other.name == class.name) {
+                return Err(format!("`classes[].name` {:?} comes twice", class.name));
+            }
             if !is_value(&class.name) || class.name.contains('/') {
                 return Err(format!("`classes[].name` {:?} can't stand in a path", class.name));
             }
--- a/src/wire/bulletin.rs
+++ b/src/wire/bulletin.rs
@@ -4,7 +4,6 @@
 use super::WireError;
 use crate::clock::span;
 use crate::engine::host::Host;
-use crate::settings::Env;
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,12 +24,12 @@
 /// Keeps a link to the bulletin for ever. A link that ends is made anew at once from the last number: what the
 /// bulletin holds counts as told, so every moment without a link is one in which a rule may be broken unseen.
 /// Where the bulletin moves, the link goes to its new address at once: the old one tells nothing more.
-pub async fn keep(host: Rc<Host>, env: Rc<Env>, mut address: watch::Receiver<SocketAddr>) {
+pub async fn keep(host: Rc<Host>, mut address: watch::Receiver<SocketAddr>) {
     loop {
         let began = host.clock.now();
         let at = *address.borrow_and_update();
         let followed = tokio::select! {
-            followed = follow(&host, &env, at) => followed,
+            followed = follow(&host, at) => followed,
             Ok(()) = address.changed() => {
                 host.with(|engine| engine.counters.bulletin_moves += 1);
                 continue;
@@ -50,7 +49,7 @@
     }
 }
 
-async fn follow(host: &Rc<Host>, env: &Env, address: SocketAddr) -> Result<(), WireError> {
+async fn follow(host: &Rc<Host>, address: SocketAddr) -> Result<(), WireError> {
     let silent = || WireError::Socket(std::io::ErrorKind::TimedOut.into());
     let stream = timeout(span(CONNECT_MS), TcpStream::connect(address)).await.map_err(|_| silent())??;
     let _ = stream.set_nodelay(true);
@@ -63,7 +62,7 @@
     loop {
         match timeout(span(SILENCE_MS), link.next()).await.map_err(|_| silent())? {
             Some(frame) => {
-                let event = frame?.event(env)?;
+                let event = frame?.event(&host.env())?;
                 host.with(|engine| engine.news(event));
             }
             None => return Ok(()),
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -34,24 +34,23 @@
 
 /// The platform's front.
 pub struct Platform {
-    env: Rc<Env>,
     limits: Limits,
 }
 
 impl Platform {
-    /// A front under these settings.
-    pub fn new(env: Rc<Env>, limits: Limits) -> Self {
-        Self { env, limits }
+    /// A front with these bounds.
+    pub fn new(limits: Limits) -> Self {
+        Self { limits }
     }
 
     /// What a request asks for. Guards the members, and all that shares a connection with it, against what they
     /// could not read: nothing is passed on that is not spelled plainly and within its bounds.
-    fn ask(&self, request: &HttpRequest, now: f64) -> Result<Box<Ask>, HttpAnswer> {
+    fn ask(env: &Env, request: &HttpRequest, now: f64) -> Result<Box<Ask>, HttpAnswer> {
         let bad = || HttpAnswer::closing(400);
         let unknown = || HttpAnswer::closing(404);
         let path = request.target.split('?').next().unwrap_or_default();
         let mut steps = path.strip_prefix("/ops/").ok_or_else(unknown)?.split('/');
-        let class = steps.next().and_then(|name| self.env.class(name));
+        let class = steps.next().and_then(|name| env.class(name));
         let class = class.ok_or_else(unknown)?;
         let object_text = steps.next().ok_or_else(unknown)?;
         let object = hex16(object_text).ok_or_else(bad)?;
@@ -65,7 +64,7 @@
         if steps.next().is_some() {
             return Err(unknown());
         }
-        let writes = self.env.is_write(class);
+        let writes = env.is_write(class);
         let method = if writes { "PUT" } else { "GET" };
         if request.method != method {
             return Err(HttpAnswer::closing(405).with("Allow", method));
@@ -80,7 +79,7 @@
             None => Ok(None),
             Some(text) => decimal(text).filter(|v| *v <= most).map(Some).ok_or_else(bad),
         };
-        let patience = number("x-patience-ms", PATIENCE_MOST)?.unwrap_or_else(|| self.env.deadline_ms(class));
+        let patience = number("x-patience-ms", PATIENCE_MOST)?.unwrap_or_else(|| env.deadline_ms(class));
         let size_kb = number("x-heap-kb", SIZE_MOST)?.unwrap_or(0.0);
         let group = header("x-set")?.map_or(Some(0), |text| whole(text, GROUP_MOST)).ok_or_else(bad)?;
         let key = header("x-dedupe-key")?;
@@ -89,7 +88,7 @@
             return Err(bad());
         }
         // Without its key a repeat could take effect twice.
-        if key.is_none() && self.env.is_keyed(class) {
+        if key.is_none() && env.is_keyed(class) {
             return Err(bad());
         }
         Ok(Box::new(Ask {
@@ -136,14 +135,14 @@
         &self.limits
     }
 
-    fn take(&self, _: &Rc<Host>, request: &HttpRequest, now: f64) -> Intake {
+    fn take(&self, host: &Rc<Host>, request: &HttpRequest, now: f64) -> Intake {
         if request.target == "/alive" {
             return Intake::Now(match request.method.as_str() {
                 "GET" => HttpAnswer::status(200),
                 _ => HttpAnswer::status(405).with("Allow", "GET"),
             });
         }
-        match self.ask(request, now) {
+        match Self::ask(&host.env(), request, now) {
             Ok(ask) => Intake::Ask(ask, Context::default()),
             Err(answer) => Intake::Now(answer),
         }
--- a/src/wire/signed.rs
+++ b/src/wire/signed.rs
@@ -283,7 +283,6 @@
 
 /// The front.
 pub struct SignedUrls {
-    env: Rc<Env>,
     limits: Limits,
     scheme: String,
     /// What tokens are checked against.
@@ -293,12 +292,12 @@
 }
 
 impl SignedUrls {
-    /// A front under these settings. `salt` keeps its requests' ids apart from those of its last start.
-    pub fn new(env: Rc<Env>, limits: Limits, scheme: String, verifier: Verifier, salt: u64) -> Self {
-        Self { env, limits, scheme, verifier: RefCell::new(verifier), salt, asked: Cell::new(0) }
+    /// A front with these bounds. `salt` keeps its requests' ids apart from those of its last start.
+    pub fn new(limits: Limits, scheme: String, verifier: Verifier, salt: u64) -> Self {
+        Self { limits, scheme, verifier: RefCell::new(verifier), salt, asked: Cell::new(0) }
     }
 
-    fn ask(&self, request: &HttpRequest, now: f64) -> Result<(Box<Ask>, Context), HttpAnswer> {
+    fn ask(&self, env: &Env, request: &HttpRequest, now: f64) -> Result<(Box<Ask>, Context), HttpAnswer> {
         let status = |status| move |_| HttpAnswer::status(status);
         let bad = || HttpAnswer::status(400);
         let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
@@ -306,7 +305,7 @@
         if path.contains('%') || path.split('/').skip(1).any(|s| matches!(s, "" | "." | "..")) {
             return Err(bad());
         }
-        let link = Link::read(path, &self.env).map_err(HttpAnswer::status)?;
+        let link = Link::read(path, env).map_err(HttpAnswer::status)?;
         if !matches!(request.method.as_str(), "GET" | "HEAD") {
             return Err(HttpAnswer::status(405).with("Allow", "GET, HEAD"));
         }
@@ -320,7 +319,7 @@
         let host = request.single("host").map_err(status(400))?.unwrap_or_default().to_ascii_lowercase();
         let uri = format!("{}://{host}{path}", self.scheme);
         // Guards the rule on purges: a pattern that leaves the group open would let a client name another one.
-        let other = Link { group: (link.group + 1) % 256, ..link.clone() }.path(&self.env);
+        let other = Link { group: (link.group + 1) % 256, ..link.clone() }.path(env);
         let other = format!("{}://{host}{other}", self.scheme);
         let checked = self.verifier.borrow().check(token, &uri, Some(&other), now);
         let renewal = checked.map_err(|denied| HttpAnswer::status(denied.status()))?;
@@ -334,7 +333,7 @@
             if_match: header("if-match")?.map(String::from),
             if_none_match: if_none_match.clone(),
         };
-        let deadline = self.env.deadline_ms(link.class);
+        let deadline = env.deadline_ms(link.class);
         self.asked.set(self.asked.get().wrapping_add(1));
         // An odd multiplier makes each count another id.
         let id = self.salt.wrapping_add(self.asked.get().wrapping_mul(0x9E37_79B9_7F4A_7C15));
@@ -421,7 +420,7 @@
     }
 
     fn take(&self, host: &Rc<Host>, request: &HttpRequest, now: f64) -> Intake {
-        match self.ask(request, now) {
+        match self.ask(&host.env(), request, now) {
             Ok((ask, context)) => Intake::Ask(ask, context),
             Err(answer) => {
                 host.with(|engine| match answer.status {
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -285,3 +285,25 @@
     assert_eq!((member, b.engine.counters.attempts_moved, b.engine.counters.attempts), (1, 2, 2));
     assert_eq!(b.engine.owed(), 1, "the module has sent it elsewhere");
 }
+
+/// Guards the memory against settings that change often: a place that nothing uses any more goes to the next class.
+#[test]
+fn places_of_classes_are_used_again() {
+    let env = |name: &str| -> Env {
+        let text = format!(
+            r#"{{"classes":[{{"name":"clip","deadlineUs":5,"promiseUs":6,"semantics":"pure"}},
+            {{"name":"{name}","deadlineUs":5,"promiseUs":6,"semantics":"pure"}}],"familyInfo":{{"uncached":[false,true]}}}}"#
+        );
+        simd_json::from_slice(&mut text.into_bytes()).unwrap()
+    };
+    let mut now = env("a");
+    for round in 0..50 {
+        let name = format!("b{round}");
+        now = env(&name).after(&now, |_| false);
+        assert_eq!(now.class("clip"), Some(0));
+        let place = now.class(&name).unwrap();
+        assert!(place < 4 && now.is_write(place) && !now.is_write(0), "{place}");
+    }
+    let kept = env("z").after(&now, |_| true);
+    assert_eq!(kept.class("z"), Some((0..).take_while(|k| now.class_name(*k).is_some()).count()));
+}
--- a/tests/manage.rs
+++ b/tests/manage.rs
@@ -15,7 +15,7 @@
     let store = Store::at(folder(name).join("maintenance.json"));
     let front: Rc<dyn Front> = Rc::new(Manage::new(Box::new(move |host| store.write(host))));
     let calls = site.open(front).await;
-    let front: Rc<dyn Front> = Rc::new(Platform::new(site.env.clone(), limits(400)));
+    let front: Rc<dyn Front> = Rc::new(Platform::new(limits(400)));
     let at = site.open(front).await;
     (site, at, calls)
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -19,7 +19,7 @@
 
 async fn open_with(name: &str, limits: Limits) -> (Site, SocketAddr) {
     let site = Site::start(name).await;
-    let front: Rc<dyn Front> = Rc::new(Platform::new(site.env.clone(), limits));
+    let front: Rc<dyn Front> = Rc::new(Platform::new(limits));
     let at = site.open(front).await;
     (site, at)
 }
@@ -338,6 +338,87 @@
     });
 }
 
+/// Guards a running proxy when its settings change: a new class is served, one that is gone is not, and a request
+/// under way keeps the class under which it came.
+#[test]
+fn settings_change_while_requests_are_under_way() {
+    run(async {
+        let (site, at) = open("settings").await;
+        let path = folder("settings").join("config.json");
+        let text = std::fs::read_to_string(&path).unwrap();
+        site.all(silent());
+        let mut under_way = Client::connect(at).await;
+        let head = headers(1);
+        under_way.write(format!("GET {CLIP} HTTP/1.1\r\nHost: o\r\n{head}\r\n").as_bytes()).await;
+        until(|| site.asked_in_all() == 1).await;
+        // `clip` becomes `film`, which may not be repeated, and fewer attempts are allowed.
+        let fresh = text.replace("\"name\":\"clip\"", "\"name\":\"film\"");
+        let fresh =
+            fresh.replacen("\"pure\"", "\"side_effect\"", 1).replace("\"sendCap\":8", "\"sendCap\":1");
+        std::fs::write(&path, fresh).unwrap();
+        read_again(&site.host, &site.config, &site.moves);
+        assert_eq!(site.host.with(|e| (e.counters.reloads, e.counters.reload_faults)), (1, 0));
+        site.all(says("EIO"));
+        assert_eq!(ask(at, "GET", CLIP, &headers(2)).await.status, 404);
+        let film = CLIP.replace("clip", "film");
+        let before = site.asked_in_all();
+        assert_eq!(
+            ask(at, "GET", &film, &headers(3)).await.status,
+            502,
+            "it may have run, and is not repeated"
+        );
+        assert_eq!(site.asked_in_all(), before + 1);
+        let thumb = CLIP.replace("clip", "thumb");
+        assert_eq!(ask(at, "GET", &thumb, &headers(4)).await.status, 503);
+        assert_eq!(site.asked_in_all(), before + 2, "one attempt each");
+        site.pass(2_000.0);
+        assert_eq!(under_way.read(false).await.unwrap().status, 503, "as a request that does no harm");
+        // The old class comes back in its place.
+        site.all(holds());
+        std::fs::write(&path, &text).unwrap();
+        read_again(&site.host, &site.config, &site.moves);
+        assert_eq!(site.host.with(|e| e.env().class("clip")), Some(0));
+        assert_eq!(ask(at, "GET", CLIP, &headers(5)).await.status, 200);
+        assert_eq!(ask(at, "GET", &film, &headers(6)).await.status, 404);
+    });
+}
+
+/// Guards against a file that is broken in whatever way: nothing of it is taken.
+#[test]
+fn a_broken_configuration_changes_nothing() {
+    run(async {
+        let (site, at) = open("broken").await;
+        let path = folder("broken").join("config.json");
+        let text = std::fs::read_to_string(&path).unwrap();
+        let fresh = text.replace("\"name\":\"clip\"", "\"name\":\"film\"");
+        let cases = [
+            String::new(),
+            fresh[..fresh.len() / 2].to_string(),
+            fresh.replace("\"sendCap\":8,", ""),
+            fresh.replace("\"semantics\":\"pure\",", ""),
+            fresh.replacen("\"worth\":2.0", "\"worthy\":2.0", 1),
+            fresh.replace("\"purgeDoneUs\":6000000,", ""),
+            fresh.replace("\"rules\"", "\"rule\""),
+            fresh.replace("\"sendCap\":8", "\"sendCap\":0"),
+            fresh.replace("\"sendCap\":8", "\"sendCap\":-1"),
+            fresh.replace("\"sendCap\":8", "\"sendCap\":\"8\""),
+            fresh.replace("\"deadlineUs\":5000000", "\"deadlineUs\":0"),
+            fresh.replace("\"deadlineUs\":5000000", "\"deadlineUs\":-5"),
+            fresh.replace("\"deadlineUs\":5000000", "\"deadlineUs\":null"),
+        ];
+        for (k, case) in cases.iter().enumerate() {
+            assert_ne!(*case, fresh, "case {k} changes nothing");
+            std::fs::write(&path, case).unwrap();
+            read_again(&site.host, &site.config, &site.moves);
+            assert_eq!(site.host.with(|e| e.counters.reload_faults), k as u64 + 1, "{case}");
+        }
+        assert_eq!(ask(at, "GET", CLIP, &headers(1)).await.status, 200);
+        std::fs::write(&path, fresh).unwrap();
+        read_again(&site.host, &site.config, &site.moves);
+        assert_eq!(site.host.with(|e| e.counters.reloads), 1);
+    });
+}
+
 /// Guards impatient clients: the margin is a part of their time, not all of it.
 #[test]
 fn a_short_patience_leaves_time_for_an_attempt() {
--- a/tests/signed_urls.rs
+++ b/tests/signed_urls.rs
@@ -115,7 +115,7 @@
         "limits":{"connections":4,"head_ms":5000,"write_ms":300,"body_bytes":0}});
     std::fs::write(&file, text.to_string()).unwrap();
     let config = FrontConfig::read(&file, 1_024).unwrap();
-    let front = Rc::new(config.front(site.env.clone(), 77).unwrap());
+    let front = Rc::new(config.front(77).unwrap());
     let reload = Rc::new(Notify::new());
     spawn_local(keep_keys(site.host.clone(), config, front.clone(), reload.clone()));
     let at = site.open(front.clone()).await;
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -314,7 +314,7 @@
         let host = Host::new(clock.clone(), engine);
         spawn_local(host.clone().keep_time());
         let (moves, told) = watch::channel(config.bulletin().unwrap());
-        spawn_local(bulletin::keep(host.clone(), env.clone(), told));
+        spawn_local(bulletin::keep(host.clone(), told));
         let (stop, closing) = Default::default();
         Self { clock, host, env, members, bulletin, config, moves, stop, closing }
     }
