Evidence fades in one second where outcomes come by the dozen a second

Now: the half-life is 1 s (policy.rs EVIDENCE_HALF_LIFE); a member that is seldom asked keeps its longer one.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,8 +7,9 @@
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-/// Half-life of evidence on a router's classes and of often asked members, us: a few seconds.
-const EVIDENCE_HALF_LIFE: f64 = 3_000_000.0;
+/// Half-life of evidence on a router's classes and of often asked members, us: tens of outcomes come in that
+/// time, and what outlives its cause refuses what would be served.
+const EVIDENCE_HALF_LIFE: f64 = 1_000_000.0;
 /// Outcomes that a member's half-life should hold: where one router sends a member less than one request a
 /// second, evidence that fades by the clock alone never adds up to a verdict ...
 const EVIDENCE_OUTCOMES: f64 = 10.0;
@@ -913,15 +914,8 @@
             m.inflight += 1;
         }
         if let Some(req) = self.requests.get_mut(&id) {
-            req.attempts.push(Attempt {
-                to,
-                source,
-                sent: now,
-                out: true,
-                may_have_run: true,
-                cut,
-                lost: false,
-            });
+            let (sent, out, may_have_run, lost) = (now, true, true, false);
+            req.attempts.push(Attempt { to, source, sent, out, may_have_run, cut, lost });
         }
         true
     }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -728,3 +728,30 @@
     }
     assert_eq!(refused, 0);
 }
+
+/// Guards against refusing what would be served: three seconds after the last late answer there is no jam any more,
+/// and what caches lack is filled again.
+#[test]
+fn evidence_does_not_outlive_its_cause() {
+    let mut bench = Bench::new(Settings { hit_notes: false, ..settings() }, fleet());
+    // These stay out, so that a jam would count.
+    (0..40).for_each(|object| drop(bench.ask(0, object)));
+    // A hundred requests a second; tells how many were asked only for what a cache holds.
+    let mut second = |took| {
+        let mut held = 0;
+        for _ in 0..100 {
+            bench.now += 10 * MS;
+            let object = bench.now / MS;
+            for attempt in sent(&bench.ask(0, object)) {
+                held += u32::from(attempt.source == Some(attempt.to));
+                let (id, verdict, note) = (attempt.id, Verdict::Served, Note::Silent);
+                bench.event(Event::Outcome { id, attempt: 0, verdict, note, took, closed: true });
+            }
+        }
+        held
+    };
+    let late: Vec<u32> = (0..4).map(|_| second(3 * S)).collect();
+    assert!(late[3] >= 50, "in a jam most are asked only for what is held: {late:?}");
+    let well: Vec<u32> = (0..4).map(|_| second(50 * MS)).collect();
+    assert!(well[3] <= 10, "{late:?} {well:?}");
+}
