--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,8 +49,8 @@
 const COLD_BURST: f64 = 0.25;
 /// Transfers that fit on a cache's link where weights don't tell: a small machine's.
 const WEIGHT_GUESS: f64 = 4.0;
-/// What a room's worth of answers in time at a full cache adds to the room it is taken to have, where weights don't
-/// tell: as much at a wide cache as at a narrow one, as in TCP, since a share of it would outrun all cuts ...
+/// What a room's worth of answers in time at a full cache adds to the room it is taken to have, where
+/// weights don't tell: as much where it is wide, as in TCP, since a share of it would outrun all cuts ...
 const ROOM_MORE: f64 = 1.0;
 /// ... what a late one leaves of it, down to the guess, and the most of it in multiples of the guess: a guess
 /// alone must not refuse what is answered in time.
