--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -12,12 +12,14 @@
 use crate::memory::maintenance::{Maintenance, Mark};
 use crate::memory::requests::{Ask, Final, NotTaken, Requests};
 use crate::memory::roster::Roster;
+use crate::purge::fanout::Standing;
+use crate::purge::guard::Guard;
 use crate::settings::Env;
 use crate::wire::frames::{News, Numbered, Target};
-use crate::wire::lines::{Command, Get, Reply, Word};
+use crate::wire::lines::{member_text, Command, Get, Reply, Word};
 use crate::{Action, Event, MemberId, Note, RequestId, Router, Verdict};
 use std::collections::VecDeque;
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 
 /// How long before a member closes an idle connection this side does, as a share of that time.
@@ -93,6 +95,8 @@
     effects: VecDeque<Effect>,
     last_no: u64,
     tidied_ms: f64,
+    /// Fleet purges, where they are on.
+    purge: Option<Guard>,
 }
 
 impl Engine {
@@ -116,9 +120,35 @@
             actions: Vec::new(),
             effects: VecDeque::new(),
             last_no: 0,
+            purge: None,
         }
     }
 
+    /// Turns fleet purges on: from now on their ledger bounds every attempt's age and judges every answer.
+    pub fn set_guard(&mut self, guard: Guard) -> &mut Guard {
+        self.purge.insert(guard)
+    }
+
+    /// The guard of fleet purges, where they are on.
+    pub fn guard(&mut self) -> Option<&mut Guard> {
+        self.purge.as_mut()
+    }
+
+    /// The caches and parents of the roster as targets of fleet purges, by name, at their own address with
+    /// `port`: the origin holds no copies, and a member that is gone is none.
+    pub fn purge_targets(&self, port: u16) -> Vec<(String, SocketAddr, Standing)> {
+        let listed = self.roster.all_listed().filter(|t| t.row.lifecycle != "dead");
+        let targets = listed.filter_map(|t| {
+            let origin = self.env.listing(&t.row).ok()?.role == crate::Role::Origin;
+            let standing = if t.row.lifecycle == "live" { Standing::Listed } else { Standing::Draining };
+            let address = SocketAddr::new((*t.address.ip()).into(), port);
+            (!origin).then(|| (member_text(t.row.cache), address, standing))
+        });
+        let mut targets: Vec<_> = targets.collect();
+        targets.sort_by(|a, b| a.0.cmp(&b.0));
+        targets
+    }
+
     /// What is to be done on sockets, in order.
     pub fn take_effect(&mut self) -> Option<Effect> {
         self.effects.pop_front()
@@ -349,6 +379,12 @@
             Word::Stale => (Verdict::NeverSent, &mut self.counters.member_miss),
         };
         *counter += 1;
+        if verdict == Verdict::Served && self.purged(id.0, &reply) {
+            // Guards the rule on purges: a copy that a purge removed reaches no client; the module tries again.
+            self.settle(id, Verdict::Spoilt);
+            self.run();
+            return self.effects.push_back(Effect::Wake(conn));
+        }
         if verdict == Verdict::Served {
             let tag = reply.tag;
             // A member says that the client's copy holds only where the request named that copy.
@@ -369,6 +405,19 @@
         self.effects.push_back(Effect::Wake(conn));
     }
 
+    /// Whether a read's answer carries a copy that a fleet purge removed.
+    fn purged(&mut self, id: RequestId, reply: &Reply) -> bool {
+        let (Some(guard), Some(ask)) = (&mut self.purge, self.requests.get(id)) else { return false };
+        let Some(class) = self.env.class_name(ask.class).filter(|_| !self.env.is_write(ask.class)) else {
+            return false;
+        };
+        let removed = guard.removes(class, ask.object, ask.part, ask.group, reply.born, &reply.tags);
+        if let Some(mark) = removed {
+            tracing::debug!(id = ask.id_text, seq = mark.seq, "an answer's copy was purged; it is not passed on");
+        }
+        removed.is_some()
+    }
+
     /// Does what is due by now.
     pub fn tick(&mut self) {
         let now = self.clock.now();
@@ -557,6 +606,13 @@
             0.0 => 0,
             age => ((age - (now - attempt.sent_ms)) as u64).max(1),
         };
+        let class = self.env.class_name(ask.class)?;
+        let (max_age_ms, group) = match &mut self.purge {
+            Some(guard) if !self.env.is_write(ask.class) => {
+                (guard.bound(now, class, ask.object, ask.part, ask.group, max_age_ms), Some(ask.group))
+            }
+            _ => (max_age_ms, None),
+        };
         let c = self.connections.get_mut(attempt.conn)?;
         c.used_ms = now;
         c.out.insert(id.0, id);
@@ -576,6 +632,7 @@
             join: attempt.join,
             renew: attempt.renew,
             cached: ask.cached.clone(),
+            group,
             body: ask.body.clone(),
         })
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,7 @@
 mod interface;
 pub mod lifecycle;
 pub mod memory;
+pub mod purge;
 mod policy;
 pub mod settings;
 pub mod wire;
--- a/src/wire/lines.rs
+++ b/src/wire/lines.rs
@@ -1,6 +1,7 @@
 //! The pop caches' protocol: lines of words that end in CR LF, with bodies of a stated length.
 
 use super::WireError;
+use crate::purge::selector::Tag;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::fmt::Write as _;
 use tokio_util::codec::{Decoder, Encoder};
@@ -38,6 +39,8 @@
     pub tag: Option<String>,
     /// The Unix millisecond at which the origin gave out this copy.
     pub born: Option<f64>,
+    /// The copy's surrogate keys, where the member tells them (`tags=a+b`, boxes that take fleet purges).
+    pub tags: Vec<Tag>,
     /// The bytes.
     pub body: Bytes,
 }
@@ -69,6 +72,8 @@
     pub renew: bool,
     /// Bare tag of the client's copy.
     pub cached: Option<String>,
+    /// The object's group, told to boxes that take fleet purges by group; none on the platform.
+    pub group: Option<u32>,
     /// Body of a write.
     pub body: Bytes,
 }
@@ -145,19 +150,23 @@
         if length > BODY_MOST {
             return Err(WireError::TooLarge("an answer's body"));
         }
-        let (mut tag, mut born) = (None, None);
+        let (mut tag, mut born, mut tags) = (None, None, Vec::new());
         for field in fields.split(',').filter(|f| *f != "-") {
             let (name, value) = field.split_once('=').ok_or(WireError::Malformed("a field"))?;
             match name {
                 "sum" => tag = Some(value.to_string()),
                 "t0" => born = Some(value.parse().map_err(|_| WireError::Malformed("t0"))?),
+                "tags" => {
+                    let each = value.split('+').map(|text| Tag::new(text).map_err(|_| WireError::Malformed("a tag")));
+                    tags = each.collect::<Result<_, _>>()?;
+                }
                 _ => {}
             }
         }
         if word != Word::Ack && length > 0 {
             return Err(WireError::Malformed("a body where none belongs"));
         }
-        Ok(Some((Reply { id, word, tag, born, body: Bytes::new() }, length)))
+        Ok(Some((Reply { id, word, tag, born, tags, body: Bytes::new() }, length)))
     }
 }
 
@@ -252,6 +261,9 @@
         if let Some(tag) = &get.cached {
             field("cached", tag);
         }
+        if let Some(group) = get.group {
+            field("g", &group.to_string());
+        }
         let _ = write!(head, " {}\r\n", get.body.len());
         out.reserve(head.len() + get.body.len() + 2);
         out.put_slice(head.as_bytes());
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -97,7 +97,7 @@
 
     fn reply(&mut self, conn: ConnId, id: u64, word: Word) {
         let (tag, body) = (Some("t".to_string()), "bytes".into());
-        self.engine.answered(conn, Reply { id, word, tag, born: None, body });
+        self.engine.answered(conn, Reply { id, word, tag, born: None, tags: Vec::new(), body });
     }
 }
 
