--- a/src/engine/host.rs
+++ b/src/engine/host.rs
@@ -103,7 +103,7 @@
             if let Err(error) = task.await {
                 if error.is_panic() {
                     host.engine.borrow_mut().counters.panics += 1;
-                    eprintln!("calicobeam: {what} ended in a panic");
+                    tracing::error!(what, "a task ended in a panic");
                 }
             }
         });
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -413,7 +413,11 @@
         };
         let removed = guard.removes(class, ask.object, ask.part, ask.group, reply.born, &reply.tags);
         if let Some(mark) = removed {
-            tracing::debug!(id = ask.id_text, seq = mark.seq, "an answer's copy was purged; it is not passed on");
+            tracing::debug!(
+                id = ask.id_text,
+                seq = mark.seq,
+                "an answer's copy was purged; it is not passed on"
+            );
         }
         removed.is_some()
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,8 +61,8 @@
 mod interface;
 pub mod lifecycle;
 pub mod memory;
-pub mod purge;
 mod policy;
+pub mod purge;
 pub mod settings;
 pub mod wire;
 
--- a/src/lifecycle/front.rs
+++ b/src/lifecycle/front.rs
@@ -133,13 +133,13 @@
             Ok((text, _)) if text == last => fault.clear(),
             Ok((text, keys)) => {
                 front.verifier.borrow_mut().keys.rotate(keys, host.clock.now());
-                eprintln!("calicobeam: new keys for signed links");
+                tracing::info!("new keys for signed links");
                 last = text;
                 fault.clear();
             }
             Err(why) if why == fault => {}
             Err(why) => {
-                eprintln!("calicobeam: the old keys for signed links stay: {why}");
+                tracing::warn!(%why, "the old keys for signed links stay");
                 fault = why;
             }
         }
--- a/src/lifecycle/maintenance.rs
+++ b/src/lifecycle/maintenance.rs
@@ -50,7 +50,7 @@
                 let marks: Vec<(MemberId, Mark)> = marks.collect();
                 host.with(|engine| engine.adopt(marks));
             }
-            Err(error) => eprintln!("calicobeam: maintenance: {error}"),
+            Err(error) => tracing::error!(%error, "maintenance can't be read"),
         }
     }
 
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -8,6 +8,8 @@
 use crate::engine::host::Host;
 use crate::engine::{Engine, EngineBounds};
 use crate::memory::connections::Bounds;
+use crate::purge::config::PurgeConfig;
+use crate::purge::{driver, wire::CALL_MOST};
 use crate::wire::bulletin;
 use crate::wire::client::{accept, Front, Stop};
 use crate::wire::manage::Manage;
@@ -41,6 +43,20 @@
     /// An address can't be listened on, or a signal not be awaited.
     #[error("{0}: {1}")]
     System(String, std::io::Error),
+    /// The purge log can't be used.
+    #[error("{0}")]
+    Purges(#[from] crate::purge::log::LogError),
+}
+
+/// What a process serves besides the platform's front, each off where it is none.
+#[derive(Default)]
+pub struct Extras {
+    /// The second front, signed URLs.
+    pub front: Option<FrontConfig>,
+    /// A virtual router.
+    pub router: Option<vrrp::Settings>,
+    /// Fleet purges.
+    pub purges: Option<PurgeConfig>,
 }
 
 /// Starts the engine of a configuration, with what was known at the start. A second front may bring `extra`
@@ -70,11 +86,8 @@
 }
 
 /// Serves until SIGTERM or SIGINT, and ends once all that was taken is answered.
-pub async fn serve(
-    mut config: Config,
-    front: Option<FrontConfig>,
-    router: Option<vrrp::Settings>,
-) -> Result<(), ServeError> {
+pub async fn serve(mut config: Config, extras: Extras) -> Result<(), ServeError> {
+    let Extras { front, router, purges } = extras;
     let handed = inherit::listener();
     let handed = handed.map_err(|e| ServeError::System("the socket that was handed over".into(), e))?;
     config.handed_over = handed.is_some();
@@ -101,16 +114,30 @@
     let platform: Rc<dyn Front> = Rc::new(Platform::new(platform::limits(connections)));
     let (stop, closing) = (Rc::new(Stop::default()), Rc::new(Notify::new()));
     host.spawn("accepting", accept(host.clone(), platform, listener, stop.clone(), closing.clone()));
-    if let Some(mgmt) = config.mgmt().map_err(|why| ServeError::Field("mgmt", why))? {
+    let mgmt = config.mgmt().map_err(|why| ServeError::Field("mgmt", why))?;
+    if purges.is_some() && mgmt.is_none() {
+        return Err(ServeError::Field(
+            "mgmt",
+            "fleet purges are called at the second address, and there is none".into(),
+        ));
+    }
+    // Before anything is served: the purges that the log holds bind.
+    let desk = purges.map(|purges| driver::open(&host, purges, seed)).transpose()?;
+    if let Some(mgmt) = mgmt {
         let store = Store::of(&config.name);
         // Before anything is served: what is out of use stays so across an upgrade.
         store.take_over(&host);
         let keep = store.clone();
-        let front: Rc<dyn Front> = Rc::new(Manage::new(Box::new(move |host| {
+        let mut manage = Manage::new(Box::new(move |host| {
             // What the other process was told meanwhile is kept.
             keep.take_over(host);
             keep.write(host)
-        })));
+        }));
+        if let Some(desk) = desk.clone() {
+            manage =
+                manage.with_calls(Box::new(move |host, call| driver::answer(host, &desk, call)), CALL_MOST);
+        }
+        let front: Rc<dyn Front> = Rc::new(manage);
         let listener = bind(mgmt).await?;
         // It is open until the very end, so no stop counts its callers.
         let (open, never) = Default::default();
@@ -119,7 +146,13 @@
             let host = host.clone();
             move || store.clone().follow(host.clone())
         });
-        eprintln!("calicobeam: calls are taken on {mgmt}");
+        tracing::info!(%mgmt, "calls are taken");
+    }
+    if let Some(desk) = desk {
+        always(&host, "fleet purges", {
+            let host = host.clone();
+            move || driver::run(host.clone(), desk.clone())
+        });
     }
     let reload = Rc::new(Notify::new());
     let second = Rc::new(Notify::new());
@@ -133,7 +166,7 @@
             let (host, reload) = (host.clone(), reload.clone());
             move || keep_keys(host.clone(), front.clone(), signed.clone(), reload.clone())
         });
-        eprintln!("calicobeam: signed links are served on {listen}");
+        tracing::info!(%listen, "signed links are served");
     }
     always(&host, "keeping time", {
         let host = host.clone();
@@ -149,7 +182,7 @@
         let socket = socket.map_err(|e| ServeError::System(format!("listen on {}", set.listen), e))?;
         host.spawn("the virtual router", vrrp::run(host.clone(), set, socket, router_stop.clone()));
     }
-    eprintln!("calicobeam: {} serves on {listen}", config.name);
+    tracing::info!("{} serves on {listen}", config.name);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -161,7 +194,7 @@
             }
         }
     }
-    eprintln!("calicobeam: {} stops", config.name);
+    tracing::info!("{} stops", config.name);
     router_stop.notify_one();
     let until =
         host.clock.now() + ACCEPT_ON_MS + host.env().longest_deadline_ms().max(3_000.0) + STOP_MORE_MS;
@@ -197,11 +230,11 @@
                 engine.retune(settings);
             });
             let moved = bulletin.send_if_modified(|old| std::mem::replace(old, address) != address);
-            eprintln!("calicobeam: configuration read again; the bulletin is at {address}, moved: {moved}");
+            tracing::info!(bulletin = %address, moved, "configuration read again");
         }
         Err(why) => {
             host.with(|engine| engine.counters.reload_faults += 1);
-            eprintln!("calicobeam: the old configuration stays: {why}");
+            tracing::warn!(%why, "the old configuration stays");
         }
     }
 }
@@ -211,7 +244,8 @@
 }
 
 fn print_counters(host: &Rc<Host>) {
-    eprint!("{}", host.with(|engine| engine.counters.to_string()));
+    let counters = host.with(|engine| engine.counters.to_string());
+    tracing::info!("counters\n{}", counters.trim_end());
 }
 
 /// Runs a task that must never end: guards against a panic in it stopping what all others need.
@@ -226,7 +260,7 @@
             let task = tokio::task::spawn_local(make());
             if task.await.is_err() {
                 own.with(|engine| engine.counters.panics += 1);
-                eprintln!("calicobeam: {what} ended in a panic and starts again");
+                tracing::error!(what, "a task ended in a panic and starts again");
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,10 +3,16 @@
 use argh::FromArgs;
 use calicobeam::lifecycle::config::{read_json, Config, ConfigError};
 use calicobeam::lifecycle::front::FrontConfig;
-use calicobeam::lifecycle::serve;
+use calicobeam::lifecycle::serve::{self, Extras};
+use calicobeam::purge::config::PurgeConfig;
+use calicobeam::purge::log::{decode, MAGIC};
+use calicobeam::purge::selector::Selector;
+use calicobeam::purge::wire::{call, from_json, Fault, Submit};
 use calicobeam::wire::vrrp;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// The edge proxy of the listing-media deployment.
 #[derive(FromArgs)]
@@ -21,6 +27,7 @@
     Serve(Serve),
     Version(Version),
     Check(Check),
+    Purge(Purge),
 }
 
 /// Serve until SIGTERM.
@@ -36,6 +43,9 @@
     /// the file of a virtual router (VRRP); without it no packet is sent
     #[argh(option)]
     vrrp: Option<PathBuf>,
+    /// the file of fleet purges; without it purges come from the bulletin alone
+    #[argh(option)]
+    purges: Option<PathBuf>,
 }
 
 /// Print the version.
@@ -56,8 +66,72 @@
     /// the file of a virtual router (VRRP)
     #[argh(option)]
     vrrp: Option<PathBuf>,
+    /// the file of fleet purges
+    #[argh(option)]
+    purges: Option<PathBuf>,
+}
+
+/// Issue fleet purges and see how far they got.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "purge")]
+struct Purge {
+    #[argh(subcommand)]
+    command: PurgeCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum PurgeCommand {
+    Submit(PurgeSubmit),
+    Status(PurgeStatus),
+    List(PurgeList),
+    Log(PurgeLog),
+}
+
+/// Issue a purge at the leader: object:HEX16, group:N, tag:KEY, pattern:/GLOB or everything.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "submit")]
+struct PurgeSubmit {
+    /// the leader's second address, as host:port
+    #[argh(option)]
+    at: SocketAddr,
+    /// what the purge removes
+    #[argh(positional)]
+    selector: String,
+}
+
+/// Show a proxy's purges: its number, the fleet's done mark, each target's acknowledgement.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+struct PurgeStatus {
+    /// the proxy's second address, as host:port
+    #[argh(option)]
+    at: SocketAddr,
+}
+
+/// List the purges that a proxy holds.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+struct PurgeList {
+    /// the proxy's second address, as host:port
+    #[argh(option)]
+    at: SocketAddr,
+    /// the first number to list
+    #[argh(option, default = "1")]
+    from: u64,
+    /// how many at most
+    #[argh(option, default = "100")]
+    most: u64,
 }
 
+/// Read a purge log file and check every record, changing nothing.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "log")]
+struct PurgeLog {
+    /// the log file
+    #[argh(positional)]
+    file: PathBuf,
+}
 fn read(path: Option<PathBuf>) -> Result<Config, String> {
     let path = path.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
     let path = path.ok_or("no configuration: give --config FILE or set NODE_CONFIG")?;
@@ -76,6 +150,77 @@
     Ok(Some(set))
 }
 
+fn read_purges(path: Option<PathBuf>) -> Result<Option<PurgeConfig>, String> {
+    path.map(|path| PurgeConfig::read(&path).map_err(|e| e.to_string())).transpose()
+}
+
+/// How long a call of the command line waits.
+const CALL_WITHIN: Duration = Duration::from_secs(5);
+
+/// One call to a proxy's second address; the body of a 2xx answer, or the fault it names.
+fn ask(at: SocketAddr, method: &str, target: &str, body: &[u8]) -> Result<String, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    let answer = runtime.block_on(call(at, method, target, body, CALL_WITHIN)).map_err(|e| e.to_string())?;
+    let text = String::from_utf8_lossy(&answer.body).to_string();
+    if (200..300).contains(&answer.status) {
+        return Ok(text);
+    }
+    let why = from_json::<Fault>(&answer.body).map_or(text, |fault| fault.error);
+    Err(format!("{at} answered {}: {why}", answer.status))
+}
+
+fn purge(command: PurgeCommand) -> Result<(), String> {
+    match command {
+        PurgeCommand::Submit(submit) => {
+            // Checked here first, so that a bad selector changes nothing anywhere and says why at once.
+            let sel: Selector = submit.selector.parse().map_err(|e| format!("{e}"))?;
+            let body = calicobeam::purge::wire::to_json(&Submit { sel });
+            println!("{}", ask(submit.at, "POST", "/purges", &body)?);
+        }
+        PurgeCommand::Status(status) => println!("{}", ask(status.at, "GET", "/purges", b"")?),
+        PurgeCommand::List(list) => {
+            let target = format!("/purges/log?from={}&most={}", list.from, list.most);
+            println!("{}", ask(list.at, "GET", &target, b"")?);
+        }
+        PurgeCommand::Log(log) => {
+            let bytes = std::fs::read(&log.file).map_err(|e| format!("{}: {e}", log.file.display()))?;
+            let Some(records) = bytes.strip_prefix(MAGIC.as_slice()) else {
+                return Err(format!("{}: not a purge log", log.file.display()));
+            };
+            let (records, fault) = decode(records);
+            for record in &records {
+                println!("{}", simd_json::to_string(record).map_err(|e| e.to_string())?);
+            }
+            if let Some((at, why)) = fault {
+                let at = at + MAGIC.len();
+                return Err(format!(
+                    "{}: {} records whole; at byte {at}: {why}",
+                    log.file.display(),
+                    records.len()
+                ));
+            }
+            eprintln!("{}: {} records, all whole", log.file.display(), records.len());
+        }
+    }
+    Ok(())
+}
+
+/// Structured logs on standard error: `CALICOBEAM_LOG` filters them (`info` where unset), and
+/// `CALICOBEAM_LOG_FORMAT=json` writes one JSON object a line.
+fn logging() {
+    use tracing_subscriber::EnvFilter;
+    let filter = EnvFilter::try_from_env("CALICOBEAM_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
+    let json = std::env::var("CALICOBEAM_LOG_FORMAT").is_ok_and(|format| format == "json");
+    let logs =
+        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false);
+    if json {
+        logs.json().init();
+    } else {
+        logs.with_target(false).init();
+    }
+}
+
 fn run() -> Result<(), String> {
     match argh::from_env::<Arguments>().command {
         Command::Version(_) => println!("calicobeam {}", env!("CARGO_PKG_VERSION")),
@@ -83,18 +228,22 @@
             let config = read(check.config)?;
             read_front(check.front, &config)?;
             read_vrrp(check.vrrp)?;
+            read_purges(check.purges)?;
             println!("calicobeam: the configuration of {:?} is in order", config.name);
         }
         Command::Serve(arguments) => {
             let config = read(arguments.config)?;
             let front = read_front(arguments.front, &config)?;
             let router = read_vrrp(arguments.vrrp)?;
+            let purges = read_purges(arguments.purges)?;
+            logging();
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
             let tasks = tokio::task::LocalSet::new();
-            let served = tasks.block_on(&runtime, serve::serve(config, front, router));
+            let served = tasks.block_on(&runtime, serve::serve(config, Extras { front, router, purges }));
             return served.map_err(|e| e.to_string());
         }
+        Command::Purge(command) => purge(command.command)?,
     }
     Ok(())
 }
--- a/src/purge/book.rs
+++ b/src/purge/book.rs
@@ -231,7 +231,12 @@
     }
 
     /// Issues a purge: numbers it, writes it down, binds the ledger, and has it fanned out.
-    pub fn submit(&mut self, sel: Selector, ledger: &mut Ledger, now_ms: f64) -> Result<Submitted, SubmitError> {
+    pub fn submit(
+        &mut self,
+        sel: Selector,
+        ledger: &mut Ledger,
+        now_ms: f64,
+    ) -> Result<Submitted, SubmitError> {
         if self.role != Role::Leader {
             return Err(SubmitError::NotLeader);
         }
@@ -280,7 +285,8 @@
     fn compact(&mut self, ledger: &Ledger) -> Result<(), LogError> {
         let Some(log) = &mut self.log else { return Ok(()) };
         let acked = self.fanout.peers().iter().map(|(name, peer)| (name.clone(), peer.acked)).collect();
-        let (last, done, first, let_go, floor) = (self.last, self.done, self.first, self.let_go, ledger.floor());
+        let (last, done, first, let_go, floor) =
+            (self.last, self.done, self.first, self.let_go, ledger.floor());
         let snapshot = Snapshot { last, done, first, let_go, floor, acked };
         let mut purges: BTreeMap<u64, Purge> = ledger.iter().map(|p| (p.seq, p)).collect();
         purges.extend(self.entries.iter().map(|(seq, p)| (*seq, p.clone())));
@@ -312,7 +318,11 @@
             ledger.apply_floor(mark);
             self.let_go = Some(mark);
             self.last = self.last.max(mark.seq);
-            tracing::warn!(seq = mark.seq, issued_ms = mark.issued_ms, "purges: took a floor in place of purges missed");
+            tracing::warn!(
+                seq = mark.seq,
+                issued_ms = mark.issued_ms,
+                "purges: took a floor in place of purges missed"
+            );
         }
         for purge in &batch.entries {
             if purge.seq <= ledger.applied() {
@@ -372,7 +382,13 @@
     }
 
     /// A target answered a batch.
-    pub fn answered(&mut self, target: &str, applied: u64, ledger: &mut Ledger, now_ms: f64) -> Result<(), LogError> {
+    pub fn answered(
+        &mut self,
+        target: &str,
+        applied: u64,
+        ledger: &mut Ledger,
+        now_ms: f64,
+    ) -> Result<(), LogError> {
         match self.fanout.answered(target, applied, now_ms) {
             Heard::Moved { from, to } if to > from => {
                 if let Some(log) = &mut self.log {
@@ -382,7 +398,12 @@
             }
             Heard::Lost { had, has } => {
                 self.figures.lost += 1;
-                tracing::warn!(target, had, has, "purges: a target lost what it had applied, and is told again");
+                tracing::warn!(
+                    target,
+                    had,
+                    has,
+                    "purges: a target lost what it had applied, and is told again"
+                );
             }
             Heard::Ahead { has } => self.lost_log(has, ledger, now_ms)?,
             _ => {}
@@ -403,7 +424,8 @@
     /// of what they removed, so every copy given out until now goes, everywhere, and numbering goes on after them.
     fn lost_log(&mut self, has: u64, ledger: &mut Ledger, now_ms: f64) -> Result<(), LogError> {
         tracing::error!(
-            has, last = self.last,
+            has,
+            last = self.last,
             "purges: a target has applied purges that this log lacks; every older copy is purged fleet-wide"
         );
         let mark = Mark { seq: has, issued_ms: now_ms.max(self.last_issued_ms) };
@@ -411,7 +433,8 @@
             log.append(&Record::Floor(mark), true)?;
         }
         ledger.apply_floor(mark);
-        (self.last, self.first, self.let_go, self.last_issued_ms) = (has, has + 1, Some(mark), mark.issued_ms);
+        (self.last, self.first, self.let_go, self.last_issued_ms) =
+            (has, has + 1, Some(mark), mark.issued_ms);
         self.entries.clear();
         self.fanout.hold(self.first, self.last);
         Ok(())
--- a/src/purge/config.rs
+++ b/src/purge/config.rs
@@ -124,7 +124,10 @@
         let mut names = std::collections::BTreeSet::new();
         for target in &self.targets {
             if !name_ok(&target.name) || !names.insert(target.name.as_str()) || target.name == self.name {
-                return Err(("targets", format!("{:?}: names are plain, unique and not this proxy's", target.name)));
+                return Err((
+                    "targets",
+                    format!("{:?}: names are plain, unique and not this proxy's", target.name),
+                ));
             }
             address(&target.address).map_err(|why| ("targets", why))?;
         }
@@ -152,8 +155,11 @@
 
     fn backoff_ok(&self) -> bool {
         let b = self.backoff;
-        b.first_ms >= 1.0 && b.most_ms >= b.first_ms && b.most_ms <= 600_000.0
-            && (1.0..=10.0).contains(&b.factor) && (0.0..=1.0).contains(&b.jitter)
+        b.first_ms >= 1.0
+            && b.most_ms >= b.first_ms
+            && b.most_ms <= 600_000.0
+            && (1.0..=10.0).contains(&b.factor)
+            && (0.0..=1.0).contains(&b.jitter)
     }
 
     /// The operator's targets with their addresses.
@@ -169,6 +175,10 @@
 
     /// The bounds of the fan-out.
     pub fn fanout_bounds(&self) -> FanOutBounds {
-        FanOutBounds { batch_most: self.batch_most, heartbeat_ms: self.heartbeat_ms, timeout_ms: self.timeout_ms }
+        FanOutBounds {
+            batch_most: self.batch_most,
+            heartbeat_ms: self.heartbeat_ms,
+            timeout_ms: self.timeout_ms,
+        }
     }
 }
--- a/src/purge/fanout.rs
+++ b/src/purge/fanout.rs
@@ -202,7 +202,8 @@
     /// The batches to send now. A target gets one batch at a time.
     pub fn due(&mut self, now_ms: f64) -> Vec<Send> {
         let mut sends = Vec::new();
-        let (first, last, most, beat) = (self.first, self.last, self.bounds.batch_most as u64, self.bounds.heartbeat_ms);
+        let (first, last, most, beat) =
+            (self.first, self.last, self.bounds.batch_most as u64, self.bounds.heartbeat_ms);
         let lost_after = 2.0 * self.bounds.timeout_ms;
         let mut lost = Vec::new();
         for (name, peer) in &mut self.peers {
--- a/src/purge/guard.rs
+++ b/src/purge/guard.rs
@@ -41,7 +41,15 @@
 
     /// The age bound of an attempt sent now, in milliseconds, where a purge lowers it; `own` is the module's
     /// bound (0 for the class's own), which a purge may only lower.
-    pub fn bound(&mut self, now_ms: f64, class: &str, object: ObjectId, part: u32, group: u32, own: u64) -> u64 {
+    pub fn bound(
+        &mut self,
+        now_ms: f64,
+        class: &str,
+        object: ObjectId,
+        part: u32,
+        group: u32,
+        own: u64,
+    ) -> u64 {
         let name = copy_name(class, object, part);
         let tags = self.tags.peek(&object).map_or(&[][..], |t| &t[..]);
         let copy = Copy { name: &name, object, group, tags };
--- a/src/purge/log.rs
+++ b/src/purge/log.rs
@@ -167,12 +167,8 @@
     /// Opens a log, or makes an empty one. Returns what it holds, and the fault at its tail, if any, which is
     /// cut off and logged.
     pub fn open(path: &Path) -> Result<(Self, Vec<Record>, Option<TailFault>), LogError> {
-        let mut file = OpenOptions::new()
-            .read(true)
-            .append(true)
-            .create(true)
-            .open(path)
-            .map_err(io(path, "open"))?;
+        let mut file =
+            OpenOptions::new().read(true).append(true).create(true).open(path).map_err(io(path, "open"))?;
         let size = file.metadata().map_err(io(path, "stat"))?.len();
         if size > FILE_MOST {
             return Err(LogError::TooLarge(path.to_path_buf()));
@@ -237,7 +233,8 @@
         file.sync_all().map_err(io(&fresh, "fsync"))?;
         std::fs::rename(&fresh, &self.path).map_err(io(&self.path, "rename"))?;
         sync_folder(&self.path)?;
-        self.file = OpenOptions::new().read(true).append(true).open(&self.path).map_err(io(&self.path, "open"))?;
+        self.file =
+            OpenOptions::new().read(true).append(true).open(&self.path).map_err(io(&self.path, "open"))?;
         self.bytes = bytes.len() as u64;
         Ok(())
     }
--- a/src/purge/wire.rs
+++ b/src/purge/wire.rs
@@ -164,7 +164,8 @@
         .await
         .map_err(|_| CallError::Timeout(address))?
         .map_err(|e| CallError::Socket(address, e))?;
-    let (status, start, length) = whole(&bytes).ok_or(CallError::Malformed(address, "a cut or malformed answer"))?;
+    let (status, start, length) =
+        whole(&bytes).ok_or(CallError::Malformed(address, "a cut or malformed answer"))?;
     Ok(Answer { status, body: bytes[start..start + length].to_vec() })
 }
 
--- a/src/wire/bulletin.rs
+++ b/src/wire/bulletin.rs
@@ -38,7 +38,7 @@
         if let Err(error) = followed {
             host.with(|engine| engine.counters.bulletin_faults += 1);
             if !matches!(error, WireError::Socket(_)) {
-                eprintln!("calicobeam: the bulletin's link: {error}");
+                tracing::warn!(%error, "the bulletin's link failed");
                 // What can't be read will most likely come again: not at full speed.
                 sleep(span(MALFORMED_MS)).await;
             }
--- a/src/wire/cache.rs
+++ b/src/wire/cache.rs
@@ -46,7 +46,7 @@
             });
             // Guards the log against members that spoil all they send: each doubling is told.
             if told.is_power_of_two() {
-                eprintln!("calicobeam: the member at {to}: {error}; {told} times in all");
+                tracing::warn!(member = %to, %error, told, "a member's connection failed");
             }
             host.with(|engine| engine.spoilt(conn));
         }
--- a/src/wire/lines.rs
+++ b/src/wire/lines.rs
@@ -157,7 +157,9 @@
                 "sum" => tag = Some(value.to_string()),
                 "t0" => born = Some(value.parse().map_err(|_| WireError::Malformed("t0"))?),
                 "tags" => {
-                    let each = value.split('+').map(|text| Tag::new(text).map_err(|_| WireError::Malformed("a tag")));
+                    let each = value
+                        .split('+')
+                        .map(|text| Tag::new(text).map_err(|_| WireError::Malformed("a tag")));
                     tags = each.collect::<Result<_, _>>()?;
                 }
                 _ => {}
--- a/src/wire/manage.rs
+++ b/src/wire/manage.rs
@@ -17,10 +17,14 @@
 /// Writes maintenance down, so that it outlives this process.
 pub type Keep = Box<dyn Fn(&Rc<Host>) -> Result<(), std::io::Error>>;
 
+/// Further calls of a subsystem that is on, such as fleet purges: an answer for the calls that are its own.
+pub type Calls = Box<dyn Fn(&Rc<Host>, &HttpRequest) -> Option<HttpAnswer>>;
+
 /// The front of the second address.
 pub struct Manage {
     limits: Limits,
     keep: Keep,
+    calls: Vec<Calls>,
 }
 
 impl Manage {
@@ -30,10 +34,20 @@
         let (first_ms, idle_ms, head_ms, body_ms) = (CALL_MS, CALL_MS, CALL_MS, CALL_MS);
         let limits =
             Limits { connections, first_ms, idle_ms, head_ms, body_ms, body_bytes, ..Limits::default() };
-        Self { limits, keep }
+        Self { limits, keep, calls: Vec::new() }
+    }
+
+    /// Takes further calls, whose bodies may be as long as `body_bytes`.
+    pub fn with_calls(mut self, calls: Calls, body_bytes: usize) -> Self {
+        self.calls.push(calls);
+        self.limits.body_bytes = self.limits.body_bytes.max(body_bytes);
+        self
     }
 
     fn answer(&self, host: &Rc<Host>, request: &HttpRequest) -> HttpAnswer {
+        if let Some(answer) = self.calls.iter().find_map(|calls| calls(host, request)) {
+            return answer;
+        }
         let path = request.target.split('?').next().unwrap_or_default();
         let steps: Vec<&str> = path.split('/').skip(1).collect();
         let allowed = match steps[..] {
@@ -62,7 +76,7 @@
         match (self.keep)(host) {
             Ok(()) => text("ok\n".into()),
             Err(error) => {
-                eprintln!("calicobeam: maintenance can't be written down: {error}");
+                tracing::error!(%error, "maintenance can't be written down");
                 HttpAnswer::status(500)
             }
         }
--- a/src/wire/vrrp.rs
+++ b/src/wire/vrrp.rs
@@ -293,7 +293,7 @@
         if machine.state() != state {
             state = machine.state();
             host.with(|engine| engine.counters.vrrp_changes += 1);
-            eprintln!("calicobeam: virtual router {}: {state:?}", set.vrid);
+            tracing::info!(vrid = set.vrid, ?state, "virtual router changed state");
             if state == State::Initialize {
                 return;
             }
