Fleet purges tested as the program runs them: a leader killed halfway, a box away, a spoilt log

Found on the way: acknowledgements restored before the roster named their targets were lost (fixed: kept until named), and an empty batch's range panicked (fixed).

--- a/src/purge/book.rs
+++ b/src/purge/book.rs
@@ -13,7 +13,7 @@
 use super::config::{PurgeConfig, Role};
 use super::fanout::{Backoff, FanOut, Heard, Standing};
 use super::ledger::{Applied, Ledger, Mark, Purge};
-use super::log::{LogError, PurgeLog, Record, Snapshot, TailFault};
+use super::log::{LogError, PurgeLog, Record, Snapshot, TailFault, PURGE_RECORD_LEAST};
 use super::selector::Selector;
 use super::wire::{Batch, Listing, Submitted};
 use std::collections::BTreeMap;
@@ -169,6 +169,9 @@
             }
         }
         ledger.skip_to(book.last);
+        if let Some(cut) = book.fault.as_ref().filter(|f| !f.is_torn_write()).map(|f| f.cut) {
+            book.after_corruption(cut, ledger, now_ms)?;
+        }
         ledger.retire(book.done, now_ms);
         book.fanout.hold(book.first, book.last);
         book.set_targets(now_ms, Vec::new());
@@ -214,6 +217,28 @@
         }
     }
 
+    /// What a log cut back by corruption may have held is unknown: numbers that may have been given out are
+    /// skipped (at most one for each `PURGE_RECORD_LEAST` bytes that were cut), and every copy given out until now
+    /// counts as purged, here and at every target that lacks those numbers.
+    fn after_corruption(&mut self, cut: u64, ledger: &mut Ledger, now_ms: f64) -> Result<(), LogError> {
+        let skipped = if self.role == Role::Leader { cut / PURGE_RECORD_LEAST + 1 } else { 0 };
+        let mark = Mark { seq: self.last + skipped, issued_ms: now_ms.max(self.last_issued_ms) };
+        tracing::error!(
+            cut, skipped, floor_seq = mark.seq,
+            "purges: the log was corrupt; every copy older than now counts as purged until the fleet has caught up"
+        );
+        if let Some(log) = &mut self.log {
+            log.append(&Record::Floor(mark), true)?;
+        }
+        ledger.apply_floor(mark);
+        self.last_issued_ms = mark.issued_ms;
+        if self.role == Role::Leader {
+            (self.last, self.first, self.let_go) = (mark.seq, mark.seq + 1, Some(mark));
+            self.entries.clear();
+        }
+        Ok(())
+    }
+
     /// This proxy's role.
     pub fn role(&self) -> Role {
         self.role
@@ -284,7 +309,7 @@
     /// bind, each once and in order.
     fn compact(&mut self, ledger: &Ledger) -> Result<(), LogError> {
         let Some(log) = &mut self.log else { return Ok(()) };
-        let acked = self.fanout.peers().iter().map(|(name, peer)| (name.clone(), peer.acked)).collect();
+        let acked = self.fanout.acknowledgements();
         let (last, done, first, let_go, floor) =
             (self.last, self.done, self.first, self.let_go, ledger.floor());
         let snapshot = Snapshot { last, done, first, let_go, floor, acked };
@@ -371,7 +396,10 @@
         let mut out = Vec::with_capacity(sends.len());
         for send in sends {
             let Some(address) = self.addresses.get(&send.target).copied() else { continue };
-            let entries = self.entries.range(send.from..=send.through).map(|(_, p)| p.clone()).collect();
+            let entries = match send.through >= send.from {
+                true => self.entries.range(send.from..=send.through).map(|(_, p)| p.clone()).collect(),
+                false => Vec::new(),
+            };
             let floor = if send.floor { self.let_go } else { None };
             self.figures.batches += 1;
             self.figures.floors += u64::from(floor.is_some());
--- a/src/purge/fanout.rs
+++ b/src/purge/fanout.rs
@@ -127,6 +127,8 @@
 #[derive(Clone, Debug)]
 pub struct FanOut {
     peers: BTreeMap<String, Peer>,
+    /// Acknowledgements from before a restart, for targets that the roster has not named again yet.
+    remembered: BTreeMap<String, u64>,
     /// The lowest number that the log still holds.
     first: u64,
     /// The highest number given out.
@@ -140,7 +142,7 @@
     /// A fan-out with no target yet, over an empty log.
     pub fn new(backoff: Backoff, bounds: FanOutBounds, seed: u64) -> Self {
         let rng = SmallRng::seed_from_u64(seed);
-        Self { peers: BTreeMap::new(), first: 1, last: 0, backoff, bounds, rng }
+        Self { peers: BTreeMap::new(), remembered: BTreeMap::new(), first: 1, last: 0, backoff, bounds, rng }
     }
 
     /// The log holds the numbers `first..=last`; what lies before `first` is gone.
@@ -166,8 +168,9 @@
     pub fn set_targets(&mut self, now_ms: f64, targets: impl IntoIterator<Item = (String, Standing)>) {
         let mut fresh = BTreeMap::new();
         for (name, standing) in targets {
+            let acked = self.remembered.remove(&name).unwrap_or(0).min(self.last);
             let peer = self.peers.remove(&name).unwrap_or(Peer {
-                acked: 0,
+                acked,
                 standing,
                 failures: 0,
                 heard_ms: None,
@@ -182,13 +185,23 @@
         self.peers = fresh;
     }
 
-    /// Takes an acknowledgement that a log kept from before a restart: the target is not told it again.
+    /// Takes an acknowledgement that a log kept from before a restart: the target is not told it again, also
+    /// where it is named only later.
     pub fn restore(&mut self, target: &str, acked: u64) {
-        if let Some(peer) = self.peers.get_mut(target) {
-            peer.acked = peer.acked.max(acked.min(self.last));
+        match self.peers.get_mut(target) {
+            Some(peer) => peer.acked = peer.acked.max(acked.min(self.last)),
+            None => {
+                self.remembered.insert(target.to_string(), acked);
+            }
         }
     }
 
+    /// Every acknowledgement known, of targets named and of those from before a restart not named yet.
+    pub fn acknowledgements(&self) -> BTreeMap<String, u64> {
+        let named = self.peers.iter().map(|(name, peer)| (name.clone(), peer.acked));
+        self.remembered.clone().into_iter().chain(named).collect()
+    }
+
     /// The targets, by name.
     pub fn peers(&self) -> &BTreeMap<String, Peer> {
         &self.peers
--- a/src/purge/log.rs
+++ b/src/purge/log.rs
@@ -29,6 +29,10 @@
 pub const RECORD_MOST: usize = 1 << 20;
 /// The largest file that is read, in bytes.
 pub const FILE_MOST: u64 = 1 << 30;
+/// The fewest bytes of a purge's record: what a lost tail held can't have had more purges than its bytes over this.
+pub const PURGE_RECORD_LEAST: u64 = 40;
+/// The most bytes of a purge's record: a torn tail shorter than this is one write that never ended.
+pub const PURGE_RECORD_MOST: u64 = 1_024;
 
 /// What a log holds, record by record.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -107,6 +111,14 @@
     pub why: &'static str,
 }
 
+impl TailFault {
+    /// Whether it is one write that never ended, which nobody heard of: a purge is written down before it is
+    /// told. Anything else may have held what was told, and is corruption.
+    pub fn is_torn_write(&self) -> bool {
+        matches!(self.why, "a torn record head" | "a torn record") && self.cut <= PURGE_RECORD_MOST
+    }
+}
+
 /// An open log, to append to.
 #[derive(Debug)]
 pub struct PurgeLog {
--- /dev/null
+++ b/tests/purges.rs
@@ -0,0 +1,490 @@
+//! Fleet purges as the program runs them: a leader and followers as processes of their own, stand-in boxes on
+//! loopback, a log on a real disk, and a leader killed halfway.
+
+mod stand_ins;
+
+use calicobeam::purge::book::Book;
+use calicobeam::purge::config::PurgeConfig;
+use calicobeam::purge::ledger::{Applied, Ledger, LedgerBounds};
+use calicobeam::purge::selector::Tag;
+use calicobeam::purge::wire::{call, from_json, to_json, Batch, Submitted};
+use simd_json::prelude::*;
+use stand_ins::purge_box::{now_ms, Origin, PurgeBox};
+use stand_ins::{folder, run};
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_calicobeam");
+
+/// Waits, up to a bound, for something that must come to be.
+async fn within(seconds: u64, what: &str, test: impl Fn() -> bool) {
+    let end = tokio::time::Instant::now() + Duration::from_secs(seconds);
+    while !test() {
+        assert!(tokio::time::Instant::now() < end, "not within {seconds} s: {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn free_port(ip: &str) -> u16 {
+    TcpListener::bind(format!("{ip}:0")).unwrap().local_addr().unwrap().port()
+}
+
+/// Two caches, a parent and an origin, each at an address of its own, their purge addresses on one port.
+struct Fleet {
+    boxes: Vec<PurgeBox>,
+    origin: Rc<Origin>,
+    port: u16,
+}
+
+impl Fleet {
+    async fn start(net: u8) -> Self {
+        let origin = Rc::new(Origin::default());
+        let port = free_port(&format!("127.0.{net}.1"));
+        let mut boxes = Vec::new();
+        for (k, name) in ["s-000000c1", "s-000000c2", "s-000000a0", "s-000000b0"].iter().enumerate() {
+            boxes.push(PurgeBox::start(name, &format!("127.0.{net}.{}", k + 1), port, origin.clone()).await);
+        }
+        boxes[3].fresh_only.set(true);
+        Self { boxes, origin, port }
+    }
+
+    /// The boxes that hold copies: caches and the parent.
+    fn holders(&self) -> &[PurgeBox] {
+        &self.boxes[..3]
+    }
+
+    /// A proxy's configuration: the example's, with this fleet and addresses of its own.
+    fn config(&self, listen: SocketAddr, mgmt: SocketAddr) -> String {
+        let mut text =
+            std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json")).unwrap();
+        for (k, port) in (7101..=7104).enumerate() {
+            text = text.replace(&format!("127.0.0.1:{port}"), &self.boxes[k].lines.to_string());
+        }
+        let listen = format!("\"listen\": \"{listen}\",\n  \"mgmt\": \"{mgmt}\",");
+        text.replace("\"listen\": \"127.0.0.1:5050\",", &listen)
+    }
+}
+
+/// A proxy process with fleet purges on.
+struct Proxy {
+    child: Child,
+    listen: SocketAddr,
+    mgmt: SocketAddr,
+    config: PathBuf,
+    purges: PathBuf,
+    log: PathBuf,
+}
+
+impl Proxy {
+    async fn start(dir: &Path, name: &str, ip: &str, fleet: &Fleet, purges: &str) -> Self {
+        let listen: SocketAddr = format!("{ip}:{}", free_port(ip)).parse().unwrap();
+        let mgmt: SocketAddr = format!("{ip}:{}", free_port(ip)).parse().unwrap();
+        let config = dir.join(format!("{name}.json"));
+        std::fs::write(&config, fleet.config(listen, mgmt)).unwrap();
+        let file = dir.join(format!("{name}-purges.json"));
+        std::fs::write(&file, purges).unwrap();
+        let log = dir.join(format!("{name}.log"));
+        let _ = std::fs::remove_file(&log);
+        let child = Self::spawn(&config, &file, &log);
+        let mut proxy = Self { child, listen, mgmt, config, purges: file, log };
+        proxy.ready().await;
+        proxy
+    }
+
+    fn spawn(config: &Path, purges: &Path, log: &Path) -> Child {
+        let errors = std::fs::OpenOptions::new().create(true).append(true).open(log).unwrap();
+        Command::new(PROGRAM)
+            .args(["serve", "--config", config.to_str().unwrap(), "--purges", purges.to_str().unwrap()])
+            .env_remove("NODE_CONFIG")
+            .env("CALICOBEAM_LOG", "info")
+            .stderr(Stdio::from(errors))
+            .spawn()
+            .unwrap()
+    }
+
+    async fn ready(&mut self) {
+        for _ in 0..500 {
+            if get(self.mgmt, "/purges").await.is_some() {
+                return;
+            }
+            assert!(
+                self.child.try_wait().unwrap().is_none(),
+                "{}",
+                std::fs::read_to_string(&self.log).unwrap()
+            );
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the proxy did not come up");
+    }
+
+    /// SIGKILL, and the same files again.
+    async fn kill_and_restart(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        self.child = Self::spawn(&self.config, &self.purges, &self.log);
+        self.ready().await;
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        if !std::thread::panicking() {
+            assert!(!log.contains("panicked"), "the proxy panicked: {log}");
+        }
+    }
+}
+
+async fn get(at: SocketAddr, target: &str) -> Option<simd_json::OwnedValue> {
+    let answer = call(at, "GET", target, b"", Duration::from_secs(2)).await.ok()?;
+    let mut body = answer.body;
+    (answer.status == 200).then(|| simd_json::to_owned_value(&mut body).ok())?
+}
+
+async fn submit(at: SocketAddr, sel: &str) -> Result<Submitted, (u16, String)> {
+    let body = format!("{{\"sel\":\"{sel}\"}}");
+    let answer = call(at, "POST", "/purges", body.as_bytes(), Duration::from_secs(2)).await.unwrap();
+    match answer.status {
+        200 => Ok(from_json(&answer.body).unwrap()),
+        status => Err((status, String::from_utf8_lossy(&answer.body).to_string())),
+    }
+}
+
+fn leader_file(name: &str, extra: &str) -> String {
+    format!(
+        "{{\"role\":\"leader\",\"name\":\"{name}\",\"state\":\"{name}-state.log\",\"batch_most\":2,\
+         \"heartbeat_ms\":100,\"timeout_ms\":2000,\"backoff\":{{\"first_ms\":50,\"factor\":2,\"most_ms\":400,\"jitter\":0.1}}{extra}}}"
+    )
+}
+
+/// A client's read through the proxy: the status, and the birth of the copy that the body names.
+async fn fetch(
+    listen: SocketAddr,
+    object: u64,
+    group: u32,
+    serial: &Cell<u64>,
+) -> Option<(u16, Option<f64>)> {
+    serial.set(serial.get() + 1);
+    let mut stream = tokio::net::TcpStream::connect(listen).await.ok()?;
+    let request = format!(
+        "GET /ops/small-object/{object:016x} HTTP/1.1\r\nHost: t\r\nX-Call-Id: {:016x}\r\nX-Patience-Ms: 2500\r\n\
+         X-Set: {group}\r\nConnection: close\r\n\r\n",
+        serial.get()
+    );
+    stream.write_all(request.as_bytes()).await.ok()?;
+    let mut answer = Vec::new();
+    tokio::time::timeout(Duration::from_secs(4), stream.read_to_end(&mut answer)).await.ok()?.ok()?;
+    let text = String::from_utf8_lossy(&answer).to_string();
+    let status = text.get(9..12)?.parse().ok()?;
+    let born = text.split("born=").nth(1).and_then(|b| b.trim().parse().ok());
+    Some((status, born))
+}
+
+#[test]
+fn a_leader_killed_halfway_resumes_where_it_stood() {
+    run(async {
+        let fleet = Fleet::start(41).await;
+        // The parent takes its batches slowly: the leader is killed while it is still behind.
+        fleet.boxes[2].ack_delay_ms.set(400);
+        let dir = folder("purges-kill");
+        let _ = std::fs::remove_file(dir.join("edge-1-state.log"));
+        let extra = format!(",\"roster_port\":{}", fleet.port);
+        let mut leader =
+            Proxy::start(&dir, "edge-1", "127.0.41.10", &fleet, &leader_file("edge-1", &extra)).await;
+        for k in 1..=8 {
+            let issued = submit(leader.mgmt, &format!("tag:t{k}")).await.unwrap();
+            assert_eq!(issued.seq, k);
+        }
+        let (quick, slow) = (&fleet.boxes[..2], &fleet.boxes[2]);
+        within(10, "the quick boxes have all", || quick.iter().all(|b| b.applied() == 8)).await;
+        within(10, "the slow box has some", || slow.applied() >= 2).await;
+        let behind = slow.applied();
+        assert!(behind < 8, "the slow box was to be behind at the kill, has {behind}");
+        leader.kill_and_restart().await;
+        within(15, "the slow box catches up", || slow.applied() == 8).await;
+        assert_eq!(submit(leader.mgmt, "tag:t9").await.unwrap().seq, 9, "numbers go on, never again from 1");
+        within(10, "all have the new one", || fleet.holders().iter().all(|b| b.applied() == 9)).await;
+        for b in fleet.holders() {
+            assert_eq!(
+                *b.seen.applied.borrow(),
+                (1..=9).collect::<Vec<u64>>(),
+                "{} applied in order, once",
+                b.name
+            );
+        }
+        for b in quick {
+            let told = b.seen.received.borrow();
+            assert!(
+                (1..=9).all(|seq| told[&seq] == 1),
+                "{} was not told again after the restart: {told:?}",
+                b.name
+            );
+        }
+        // At most the batch that was out at the kill comes again; nothing before it, nothing skipped.
+        let told = slow.seen.received.borrow().clone();
+        let repeats: u32 = told.values().map(|n| n - 1).sum();
+        assert!(repeats <= 2, "the slow box was told {repeats} purges again: {told:?}");
+        assert!((1..behind.saturating_sub(1)).all(|seq| told[&seq] == 1), "{told:?}");
+        let status = get(leader.mgmt, "/purges").await.unwrap();
+        assert_eq!(status["last"].as_u64(), Some(9));
+    });
+}
+
+#[test]
+fn overlapping_purges_apply_in_order_everywhere() {
+    run(async {
+        let fleet = Fleet::start(42).await;
+        let dir = folder("purges-order");
+        for file in ["lead-state.log", "follow-state.log"] {
+            let _ = std::fs::remove_file(dir.join(file));
+        }
+        let follower_file = "{\"role\":\"follower\",\"name\":\"follow\",\"state\":\"follow-state.log\"}";
+        let follower = Proxy::start(&dir, "follow", "127.0.42.11", &fleet, follower_file).await;
+        let extra = format!(
+            ",\"roster_port\":{},\"targets\":[{{\"name\":\"follow\",\"address\":\"{}\"}}]",
+            fleet.port, follower.mgmt
+        );
+        let leader = Proxy::start(&dir, "lead", "127.0.42.10", &fleet, &leader_file("lead", &extra)).await;
+        // A follower takes nothing that comes before what it lacks.
+        let early = Batch {
+            leader: "lead".into(),
+            from: 2,
+            done: 0,
+            floor: None,
+            entries: vec![calicobeam::purge::ledger::Purge {
+                seq: 2,
+                issued_ms: now_ms(),
+                sel: "tag:x".parse().unwrap(),
+            }],
+        };
+        let answer = call(follower.mgmt, "POST", "/purges/apply", &to_json(&early), Duration::from_secs(2))
+            .await
+            .unwrap();
+        assert_eq!((answer.status, String::from_utf8_lossy(&answer.body).as_ref()), (200, "{\"applied\":0}"));
+        // A tag and a pattern that cover the same objects.
+        fleet.origin.tags.borrow_mut().insert(0x11, vec![Tag::new("seller-1").unwrap()]);
+        assert_eq!(submit(leader.mgmt, "tag:seller-1").await.unwrap().seq, 1);
+        assert_eq!(submit(leader.mgmt, "pattern:/small-object/00000000000000*").await.unwrap().seq, 2);
+        within(10, "every box has both", || fleet.holders().iter().all(|b| b.applied() == 2)).await;
+        for b in fleet.holders() {
+            assert_eq!(*b.seen.applied.borrow(), [1, 2], "{}", b.name);
+        }
+        let mut listed = None;
+        for _ in 0..500 {
+            listed = get(follower.mgmt, "/purges/log").await;
+            if listed.as_ref().is_some_and(|l| l["entries"].as_array().is_some_and(|e| e.len() == 2)) {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let listed = listed.unwrap();
+        let entries = listed["entries"].as_array().unwrap();
+        let order: Vec<(u64, &str)> =
+            entries.iter().map(|e| (e["seq"].as_u64().unwrap(), e["sel"].as_str().unwrap())).collect();
+        assert_eq!(order, [(1, "tag:seller-1"), (2, "pattern:/small-object/00000000000000*")]);
+        let status = get(leader.mgmt, "/purges").await.unwrap();
+        assert_eq!(status["targets"]["follow"]["acked"].as_u64(), Some(2));
+    });
+}
+
+#[test]
+fn a_box_away_for_seconds_is_caught_up_and_keeps_copies_newer_than_the_purge() {
+    run(async {
+        let fleet = Fleet::start(43).await;
+        let dir = folder("purges-away");
+        let _ = std::fs::remove_file(dir.join("away-state.log"));
+        let extra = format!(",\"roster_port\":{}", fleet.port);
+        let leader = Proxy::start(&dir, "away", "127.0.43.10", &fleet, &leader_file("away", &extra)).await;
+        let serial = Cell::new(0);
+        let objects: Vec<u64> = (0x100..0x140).collect();
+        for object in &objects {
+            fleet.origin.tags.borrow_mut().insert(*object, vec![Tag::new("seller-7").unwrap()]);
+            assert_eq!(fetch(leader.listen, *object, 7, &serial).await.map(|a| a.0), Some(200));
+        }
+        for b in fleet.holders() {
+            b.unreachable.set(true);
+        }
+        // As a box with a bug would, one serves what it holds whatever the proxy's age bound says.
+        fleet.boxes[0].deaf.set(true);
+        let purge = submit(leader.mgmt, "tag:seller-7").await.unwrap();
+        let (mut served, mut failed) = (0, 0);
+        let until = now_ms() + 3_000.0;
+        while now_ms() < until {
+            for object in &objects {
+                match fetch(leader.listen, *object, 7, &serial).await {
+                    Some((200, Some(born))) => {
+                        assert!(born > purge.issued_ms, "a copy older than the purge reached a client");
+                        served += 1;
+                    }
+                    Some(_) => failed += 1,
+                    None => failed += 1,
+                }
+            }
+        }
+        // The boxes were told nothing, and yet no client had a purged copy; the proxy asked again where one came.
+        assert!(fleet.holders().iter().all(|b| b.applied() == 0));
+        assert!(served > 0, "served {served}, failed {failed}");
+        let status = get(leader.mgmt, "/purges").await.unwrap();
+        assert_eq!(status["done"].as_u64(), Some(0));
+        let newer: Vec<Vec<(u64, f64)>> = fleet
+            .holders()
+            .iter()
+            .map(|b| {
+                b.store
+                    .borrow()
+                    .iter()
+                    .filter(|(_, h)| h.born_ms > purge.issued_ms)
+                    .map(|(k, h)| (k.0, h.born_ms))
+                    .collect()
+            })
+            .collect();
+        assert!(newer.iter().any(|n| !n.is_empty()), "boxes that heed the age bound filled anew");
+        for b in fleet.holders() {
+            b.unreachable.set(false);
+        }
+        within(10, "the boxes are caught up", || fleet.holders().iter().all(|b| b.applied() == 1)).await;
+        for (b, newer) in fleet.holders().iter().zip(newer) {
+            let store = b.store.borrow();
+            for (object, born) in newer {
+                assert_eq!(
+                    store.get(&(object, 0)).map(|h| h.born_ms),
+                    Some(born),
+                    "{} lost a newer copy",
+                    b.name
+                );
+            }
+            assert!(store.values().all(|h| h.born_ms > purge.issued_ms), "{} kept a purged copy", b.name);
+        }
+        let mut done = None;
+        for _ in 0..300 {
+            done = get(leader.mgmt, "/purges").await.and_then(|s| s["done"].as_u64());
+            if done == Some(1) {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(done, Some(1));
+    });
+}
+
+fn book_file(dir: &Path, role: &str, targets: &str) -> PurgeConfig {
+    let path = dir.join(format!("{role}.json"));
+    let text =
+        format!("{{\"role\":\"{role}\",\"name\":\"me\",\"state\":\"{role}.log\",\"targets\":[{targets}]}}");
+    std::fs::write(&path, text).unwrap();
+    PurgeConfig::read(&path).unwrap()
+}
+
+/// A target as the book sees it: its own ledger, applying what it is sent.
+fn tell(book: &mut Book, ledger: &mut Ledger, target: &mut Ledger, now: f64) {
+    for out in book.due(now) {
+        if let Some(floor) = out.batch.floor.filter(|f| f.seq >= target.applied()) {
+            target.apply_floor(floor);
+        }
+        for purge in &out.batch.entries {
+            assert_ne!(target.apply(purge), Applied::Gap { expected: target.applied() + 1 });
+        }
+        book.answered(&out.target, target.applied(), ledger, now).unwrap();
+    }
+}
+
+#[test]
+fn a_torn_or_corrupt_log_keeps_its_whole_prefix_and_gives_no_number_twice() {
+    let dir = folder("purges-log");
+    let config = book_file(&dir, "leader", "{\"name\":\"a\",\"address\":\"127.0.0.1:9\"}");
+    let path = config.state.clone().unwrap();
+    let _ = std::fs::remove_file(&path);
+    let (mut ledger, mut target) =
+        (Ledger::new(LedgerBounds::default()), Ledger::new(LedgerBounds::default()));
+    let mut book = Book::open(&config, &mut ledger, 1_000.0, 1).unwrap();
+    for k in 1..=5 {
+        book.submit(format!("tag:t{k}").parse().unwrap(), &mut ledger, 1_000.0 + k as f64).unwrap();
+    }
+    tell(&mut book, &mut ledger, &mut target, 2_000.0);
+    tell(&mut book, &mut ledger, &mut target, 2_001.0);
+    tell(&mut book, &mut ledger, &mut target, 2_002.0);
+    assert_eq!(target.applied(), 5);
+    drop(book);
+
+    // A write that never ended: it is cut off and nothing else changes.
+    let whole = std::fs::read(&path).unwrap();
+    std::fs::write(&path, &whole[..whole.len() - 3]).unwrap();
+    let mut ledger = Ledger::new(LedgerBounds::default());
+    let mut book = Book::open(&config, &mut ledger, 3_000.0, 1).unwrap();
+    let status = book.status(&ledger);
+    let fault = status.fault.clone().expect("the torn tail is found");
+    assert!(
+        fault.is_torn_write() && fault.offset as usize == std::fs::metadata(&path).unwrap().len() as usize
+    );
+    assert_eq!((status.last, ledger.applied(), ledger.floor()), (5, 5, None));
+    assert_eq!(book.submit("tag:t6".parse().unwrap(), &mut ledger, 3_001.0).unwrap().seq, 6);
+    tell(&mut book, &mut ledger, &mut target, 3_002.0);
+    assert_eq!(target.applied(), 6);
+    drop(book);
+
+    // A record spoilt in the middle: what follows it is gone, with what it may have told.
+    let mut bytes = std::fs::read(&path).unwrap();
+    let spoilt = bytes.len() / 2;
+    bytes[spoilt] ^= 0x55;
+    std::fs::write(&path, &bytes).unwrap();
+    let mut ledger = Ledger::new(LedgerBounds::default());
+    let mut book = Book::open(&config, &mut ledger, 4_000.0, 1).unwrap();
+    let status = book.status(&ledger);
+    let fault = status.fault.clone().expect("the spoilt record is found");
+    assert!(!fault.is_torn_write(), "{fault:?}");
+    assert!((fault.offset as usize) <= spoilt && std::fs::metadata(&path).unwrap().len() > 8);
+    assert!(status.last > 6, "numbers that may have been given out are skipped, last {}", status.last);
+    assert!(ledger.floor().is_some_and(|f| f.issued_ms >= 4_000.0), "every older copy counts as purged");
+    let next = book.submit("tag:t7".parse().unwrap(), &mut ledger, 4_001.0).unwrap().seq;
+    assert!(next > 6);
+    tell(&mut book, &mut ledger, &mut target, 4_002.0);
+    tell(&mut book, &mut ledger, &mut target, 4_003.0);
+    assert_eq!(target.applied(), next, "the target took the floor and the new purge, nothing twice");
+    assert!(target.floor().is_some_and(|f| f.issued_ms >= 4_000.0));
+}
+
+#[test]
+fn bad_input_to_purge_submit_is_refused_and_changes_nothing() {
+    run(async {
+        let fleet = Fleet::start(44).await;
+        let dir = folder("purges-bad");
+        let _ = std::fs::remove_file(dir.join("bad-state.log"));
+        let leader = Proxy::start(&dir, "bad", "127.0.44.10", &fleet, &leader_file("bad", "")).await;
+        let at = leader.mgmt.to_string();
+        let cases = [
+            ("", "empty selector"),
+            ("pattern:/a/**/b", "last step"),
+            ("pattern:video/*", "begins with `/`"),
+            ("colour:red", "unknown selector kind"),
+            ("tag:a b", "a tag is"),
+            ("object:xyz", "16 hex digits"),
+        ];
+        for (selector, why) in cases {
+            let out =
+                Command::new(PROGRAM).args(["purge", "submit", "--at", &at, selector]).output().unwrap();
+            let message = String::from_utf8_lossy(&out.stderr);
+            assert!(!out.status.success() && message.contains(why), "{selector:?}: {message}");
+        }
+        for body in ["{\"sel\":\"pattern:/[ab]\"}", "{\"sel\":\"tag:x\",\"more\":1}", "not json", "{}"] {
+            let answer =
+                call(leader.mgmt, "POST", "/purges", body.as_bytes(), Duration::from_secs(2)).await.unwrap();
+            assert_eq!(answer.status, 400, "{body}");
+            assert!(String::from_utf8_lossy(&answer.body).contains("error"));
+        }
+        let status = get(leader.mgmt, "/purges").await.unwrap();
+        assert_eq!((status["last"].as_u64(), status["figures"]["issued"].as_u64()), (Some(0), Some(0)));
+        let log = dir.join("bad-state.log");
+        let out = Command::new(PROGRAM).args(["purge", "log", log.to_str().unwrap()]).output().unwrap();
+        assert!(out.status.success() && out.stdout.is_empty(), "{}", String::from_utf8_lossy(&out.stderr));
+        // A good one after all that gets the first number.
+        let out = Command::new(PROGRAM).args(["purge", "submit", "--at", &at, "group:3"]).output().unwrap();
+        assert!(String::from_utf8_lossy(&out.stdout).contains("\"seq\":1"), "{out:?}");
+    });
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -22,6 +22,8 @@
 use tokio::sync::{watch, Notify};
 use tokio::task::spawn_local;
 
+pub mod purge_box;
+
 /// The time at which every test begins.
 pub const START_MS: f64 = 1_764_576_000_000.0;
 pub const PARENT: u32 = 0xa0;
