--- /dev/null
+++ b/benches/purge_lookup.rs
@@ -0,0 +1,59 @@
+//! What the purge check costs a request, against the number of purges that bind: nanoseconds per lookup and the
+//! ledger's bytes, for 100 to 100,000 purges of every kind. Run with `cargo bench --bench purge_lookup`.
+
+use calicobeam::purge::ledger::{Ledger, LedgerBounds, Purge};
+use calicobeam::purge::selector::{copy_name, Copy, Selector, Tag};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::hint::black_box;
+use std::time::Instant;
+
+/// Lookups timed for each size.
+const LOOKUPS: usize = 400_000;
+const CLASSES: [&str; 3] = ["video-part", "small-object", "ad-post"];
+
+fn selector(rng: &mut SmallRng) -> Selector {
+    let text = match rng.random_range(0..10) {
+        0..=3 => format!("tag:seller-{}", rng.random_range(0..1_000_000u32)),
+        4..=6 => format!("object:{:016x}", rng.random::<u64>()),
+        7..=8 => {
+            let class = CLASSES[rng.random_range(0..3usize)];
+            format!("pattern:/{class}/{:06x}*/**", rng.random_range(0..0xffffffu32))
+        }
+        _ => format!("group:{}", rng.random_range(0..256u32)),
+    };
+    text.parse().expect("a good selector")
+}
+
+fn main() {
+    println!("| purges | ns per lookup | bytes | bytes per purge | covered |");
+    println!("| ---: | ---: | ---: | ---: | ---: |");
+    for purges in [100usize, 1_000, 10_000, 100_000] {
+        let mut rng = SmallRng::seed_from_u64(7);
+        let mut ledger = Ledger::new(LedgerBounds { most: 1_000_000, hold_ms: 6_000.0 });
+        for seq in 1..=purges as u64 {
+            ledger.apply(&Purge { seq, issued_ms: seq as f64, sel: selector(&mut rng) });
+        }
+        let copies: Vec<(String, u64, u32, Vec<Tag>)> = (0..4_096)
+            .map(|_| {
+                let object = rng.random::<u64>();
+                let class = CLASSES[rng.random_range(0..3usize)];
+                let tag =
+                    |rng: &mut SmallRng| Tag::new(&format!("seller-{}", rng.random_range(0..1_000_000u32)));
+                let tags = vec![tag(&mut rng).unwrap(), tag(&mut rng).unwrap()];
+                (copy_name(class, object, rng.random_range(0..20)), object, rng.random_range(0..256), tags)
+            })
+            .collect();
+        let mut covered = 0usize;
+        let start = Instant::now();
+        for k in 0..LOOKUPS {
+            let (name, object, group, tags) = &copies[k % copies.len()];
+            let copy = Copy { name, object: *object, group: *group, tags };
+            covered += usize::from(black_box(ledger.newest(black_box(&copy))).is_some());
+        }
+        let ns = start.elapsed().as_nanos() as f64 / LOOKUPS as f64;
+        let bytes = ledger.heap_bytes();
+        let share = covered as f64 / LOOKUPS as f64;
+        println!("| {purges} | {ns:.0} | {bytes} | {:.0} | {share:.3} |", bytes as f64 / purges as f64);
+    }
+}
--- a/src/purge/ledger.rs
+++ b/src/purge/ledger.rs
@@ -3,9 +3,10 @@
 //!
 //! A purge binds a copy when its selector covers the copy and the copy was given out by the origin (`t0`) no
 //! later than the purge was issued. Of the purges that cover a copy only the newest matters, so the ledger
-//! keeps, for each object, group, tag and pattern, the newest purge alone, and the cost of a lookup does not
-//! grow with the number of purges held: a few hash lookups, one for each step of the copy's name, and a match
-//! against the patterns that share the copy's first steps.
+//! keeps, for each object, group, tag and pattern, the newest purge alone, and the cost of a lookup hardly
+//! grows with the number of purges held: a few hash lookups, a walk down a PATRICIA trie of the patterns' stems
+//! (what stands before their first wildcard) along the copy's name, and a match against the patterns whose stem
+//! begins the name, in bounded cost each.
 //!
 //! Purges apply strictly in the order of their sequence numbers; one that comes early is refused, so that two
 //! overlapping purges take effect in the same order everywhere. A purge is held until the fleet has applied
@@ -16,6 +17,7 @@
 use super::selector::{Copy, Glob, Selector, Tag};
 use crate::ObjectId;
 use ahash::AHashMap;
+use patricia_tree::StringPatriciaMap;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -98,8 +100,10 @@
     groups: AHashMap<u32, Mark>,
     tags: AHashMap<Tag, Mark>,
     exact: AHashMap<Box<str>, Mark>,
-    /// Patterns with wildcards by their stem, the literal steps before the first wild one.
-    stems: AHashMap<Box<str>, Vec<(Glob, Mark)>>,
+    /// Patterns with wildcards by their stem, what stands before their first wildcard.
+    stems: StringPatriciaMap<Vec<(Glob, Mark)>>,
+    /// Patterns in `stems`.
+    wild: usize,
     folded: u64,
 }
 
@@ -230,11 +234,17 @@
             Selector::Tag(tag) => raise(&mut self.tags, tag.clone(), mark),
             Selector::Pattern(glob) if glob.is_exact() => raise(&mut self.exact, glob.as_str().into(), mark),
             Selector::Pattern(glob) => {
-                let list = self.stems.entry(glob.stem().into()).or_default();
+                if self.stems.get(glob.stem()).is_none() {
+                    self.stems.insert(glob.stem(), Vec::new());
+                }
+                let list = self.stems.get_mut(glob.stem()).expect("just made");
                 match list.iter_mut().find(|(g, _)| g == glob) {
                     Some((_, old)) if mark.issued_ms >= old.issued_ms => *old = mark,
                     Some(_) => {}
-                    None => list.push((glob.clone(), mark)),
+                    None => {
+                        list.push((glob.clone(), mark));
+                        self.wild += 1;
+                    }
                 }
             }
             Selector::Everything => self.floor = Mark::newer(self.floor, Some(mark)),
@@ -248,11 +258,12 @@
             Selector::Tag(tag) => lower(&mut self.tags, tag, seq),
             Selector::Pattern(glob) if glob.is_exact() => lower(&mut self.exact, &glob.as_str().into(), seq),
             Selector::Pattern(glob) => {
-                let stem: Box<str> = glob.stem().into();
-                if let Some(list) = self.stems.get_mut(&stem) {
+                if let Some(list) = self.stems.get_mut(glob.stem()) {
+                    let before = list.len();
                     list.retain(|(g, m)| !(m.seq == seq && g == glob));
+                    self.wild -= before - list.len();
                     if list.is_empty() {
-                        self.stems.remove(&stem);
+                        self.stems.remove(glob.stem());
                     }
                 }
             }
@@ -272,11 +283,9 @@
         if !self.exact.is_empty() {
             best = Mark::newer(best, self.exact.get(copy.name).copied());
         }
-        if !self.stems.is_empty() {
-            // Every stem that a matching pattern could have is a beginning of the name at a step's end.
-            let ends = copy.name.match_indices('/').map(|(at, _)| at).chain([copy.name.len()]);
-            for end in ends {
-                let Some(list) = self.stems.get(&copy.name[..end]) else { continue };
+        if self.wild > 0 {
+            // A pattern that matches has a stem that begins the name.
+            for (_, list) in self.stems.common_prefixes(copy.name) {
                 for (glob, mark) in list {
                     if best.is_none_or(|b| mark.issued_ms > b.issued_ms) && glob.matches(copy.name) {
                         best = Some(*mark);
@@ -320,7 +329,7 @@
             + map(self.groups.capacity(), size_of::<(u32, Mark)>())
             + map(self.tags.capacity(), size_of::<(Tag, Mark)>())
             + map(self.exact.capacity(), size_of::<(Box<str>, Mark)>())
-            + map(self.stems.capacity(), size_of::<(Box<str>, Vec<(Glob, Mark)>)>())
+            + self.stems.len() * (size_of::<Vec<(Glob, Mark)>>() + 48)
             + self.tags.keys().map(|t| t.as_str().len()).sum::<usize>()
             + self.exact.keys().map(|k| k.len()).sum::<usize>()
             + self.stems.values().map(|v| v.capacity() * size_of::<(Glob, Mark)>()).sum::<usize>()
