--- a/src/purge/ledger.rs
+++ b/src/purge/ledger.rs
@@ -104,6 +104,8 @@
     stems: StringPatriciaMap<Vec<(Glob, Mark)>>,
     /// Patterns in `stems`.
     wild: usize,
+    /// Purges of everything that are held, by number, with their issue times.
+    alls: BTreeMap<u64, f64>,
     folded: u64,
 }
 
@@ -247,7 +249,9 @@
                     }
                 }
             }
-            Selector::Everything => self.floor = Mark::newer(self.floor, Some(mark)),
+            Selector::Everything => {
+                self.alls.insert(mark.seq, mark.issued_ms);
+            }
         }
     }
 
@@ -267,14 +271,18 @@
                     }
                 }
             }
-            // Only a floor that came as a purge of everything is its own; one that folding raised stays.
-            Selector::Everything => {}
+            Selector::Everything => {
+                self.alls.remove(&seq);
+            }
         }
     }
 
     /// The newest purge that covers a copy, whenever the copy was given out.
     pub fn newest(&self, copy: &Copy<'_>) -> Option<Mark> {
         let mut best = self.floor;
+        for (seq, issued_ms) in &self.alls {
+            best = Mark::newer(best, Some(Mark { seq: *seq, issued_ms: *issued_ms }));
+        }
         best = Mark::newer(best, self.objects.get(&copy.object).copied());
         best = Mark::newer(best, self.groups.get(&copy.group).copied());
         for tag in copy.tags {
