--- a/src/engine/host.rs
+++ b/src/engine/host.rs
@@ -1,6 +1,8 @@
 //! Carries out the engine's effects on sockets: one thread, one engine, a task for each connection.
 
 use super::{Effect, Engine};
+use crate::admission::fair::Verdict;
+use crate::admission::gate::Gate;
 use crate::clock::{span, Clock};
 use crate::memory::connections::ConnId;
 use crate::memory::requests::{Ask, Final, NotTaken};
@@ -21,6 +23,8 @@
     wakers: RefCell<HashMap<ConnId, Rc<Notify>>>,
     waiting: RefCell<HashMap<RequestId, oneshot::Sender<Final>>>,
     due: Notify,
+    /// The door's fair queues, where they are on.
+    gate: RefCell<Option<Gate>>,
 }
 
 impl Host {
@@ -32,9 +36,26 @@
             wakers: RefCell::default(),
             waiting: RefCell::default(),
             due: Notify::new(),
+            gate: RefCell::default(),
         })
     }
 
+    /// Puts fair queues at the door: from now on every request goes through them.
+    pub fn set_gate(&self, gate: Gate) {
+        *self.gate.borrow_mut() = Some(gate);
+    }
+
+    /// Lets the door's queues do something, where they are on.
+    pub fn with_gate<R>(&self, act: impl FnOnce(&mut Gate) -> R) -> Option<R> {
+        self.gate.borrow_mut().as_mut().map(act)
+    }
+
+    /// The figures that the platform reads, with the door's where it is on.
+    pub fn figures(self: &Rc<Self>) -> String {
+        let engine = self.with(|engine| engine.figures());
+        engine + &self.with_gate(Gate::figures).unwrap_or_default()
+    }
+
     /// Lets the engine do something, and carries out what it wants.
     pub fn with<R>(self: &Rc<Self>, act: impl FnOnce(&mut Engine) -> R) -> R {
         let result = act(&mut self.engine.borrow_mut());
@@ -68,31 +89,90 @@
                     }
                 }
                 Some(Effect::Answer(id, answer)) => {
-                    if let Some(client) = self.waiting.borrow_mut().remove(&id) {
-                        // A client that has just left needs none.
-                        let _ = client.send(answer);
-                    }
+                    let now = self.clock.now();
+                    let released = self.with_gate(|gate| gate.ended(now, id, Some(&answer)));
+                    self.answer(id, answer);
+                    released.into_iter().flatten().for_each(|ask| self.let_in(ask));
                 }
             }
         }
         self.due.notify_one();
     }
 
-    /// Takes a request in and gives the place where its answer will be.
+    fn answer(&self, id: RequestId, answer: Final) {
+        if let Some(client) = self.waiting.borrow_mut().remove(&id) {
+            // A client that has just left needs none.
+            let _ = client.send(answer);
+        }
+    }
+
+    /// Takes a request in and gives the place where its answer will be. Where the door's queues are on, it
+    /// may wait there first, or be refused at once with a time to come back.
     pub fn ask(self: &Rc<Self>, ask: Ask) -> Result<oneshot::Receiver<Final>, NotTaken> {
         let (id, (sender, receiver)) = (ask.id, oneshot::channel());
-        let taken = self.engine.borrow_mut().request(ask);
-        if taken.is_ok() {
-            self.waiting.borrow_mut().insert(id, sender);
+        let now = self.clock.now();
+        let mut gate = self.gate.borrow_mut();
+        let (verdict, ask) = match gate.as_mut() {
+            Some(gate) => gate.arrive(now, ask),
+            None => (Verdict::Admit, Some(ask)),
+        };
+        drop(gate);
+        match (verdict, ask) {
+            (Verdict::Duplicate, _) => Err(NotTaken::Duplicate),
+            (Verdict::Refuse { come_back_ms, .. }, _) => {
+                let _ = sender.send(Final::Refused { wait_ms: come_back_ms, overdue: false });
+                Ok(receiver)
+            }
+            (Verdict::Queue, _) | (_, None) => {
+                self.waiting.borrow_mut().insert(id, sender);
+                Ok(receiver)
+            }
+            (Verdict::Admit, Some(ask)) => {
+                let taken = self.engine.borrow_mut().request(ask);
+                match taken {
+                    Ok(()) => drop(self.waiting.borrow_mut().insert(id, sender)),
+                    Err(_) => self.release(id, None),
+                }
+                self.carry_out();
+                taken.map(|()| receiver)
+            }
         }
-        self.carry_out();
-        taken.map(|()| receiver)
     }
 
-    /// A client left before its answer.
+    /// Hands a request that waited at the door to the engine.
+    fn let_in(self: &Rc<Self>, ask: Ask) {
+        let id = ask.id;
+        if let Err(why) = self.engine.borrow_mut().request(ask) {
+            let wait_ms = if why == NotTaken::Full { 300.0 } else { 0.0 };
+            self.answer(id, Final::Refused { wait_ms, overdue: false });
+            self.release(id, None);
+        }
+    }
+
+    /// Tells the door that an admitted request ended without an answer of the engine, and lets in who is next.
+    fn release(self: &Rc<Self>, id: RequestId, answer: Option<&Final>) {
+        let now = self.clock.now();
+        let released = self.with_gate(|gate| gate.ended(now, id, answer));
+        released.into_iter().flatten().for_each(|ask| self.let_in(ask));
+    }
+
+    /// A client left before its answer. One that waited at the door is forgotten there; nothing was sent.
     pub fn left(self: &Rc<Self>, id: RequestId) {
         self.waiting.borrow_mut().remove(&id);
+        if self.with_gate(|gate| gate.left(id)) == Some(true) {
+            return;
+        }
         self.with(|engine| engine.left(id));
+        self.release(id, None);
+        self.carry_out();
+    }
+
+    /// Refuses, at once, what waited at the door and whose time is over.
+    fn door_tick(self: &Rc<Self>) {
+        let now = self.clock.now();
+        for (id, come_back_ms) in self.with_gate(|gate| gate.expired(now)).unwrap_or_default() {
+            self.answer(id, Final::Refused { wait_ms: come_back_ms, overdue: false });
+        }
     }
 
     /// Runs a task beside the others. A panic in it is counted and ends nothing else.
@@ -112,10 +192,14 @@
     /// Keeps the engine's time: whatever is due is done.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
-            let due = self.engine.borrow_mut().next_due();
+            let door = self.with_gate(|gate| gate.next_due()).flatten().unwrap_or(f64::INFINITY);
+            let due = self.engine.borrow_mut().next_due().min(door);
             let wait = span(due - self.clock.now());
             tokio::select! {
-                () = tokio::time::sleep(wait) => self.with(Engine::tick),
+                () = tokio::time::sleep(wait) => {
+                    self.door_tick();
+                    self.with(Engine::tick);
+                }
                 () = self.due.notified() => {}
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,6 +56,7 @@
 //! assert!(matches!(actions[0], Action::Send { id: 1, to, .. } if to != first));
 //! ```
 
+pub mod admission;
 pub mod clock;
 pub mod engine;
 mod interface;
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -4,6 +4,8 @@
 use super::front::{keep_keys, FrontConfig};
 use super::inherit;
 use super::maintenance::Store;
+use crate::admission::config::DoorConfig;
+use crate::admission::gate::Gate;
 use crate::clock::{span, Clock};
 use crate::engine::host::Host;
 use crate::engine::{Engine, EngineBounds};
@@ -57,6 +59,8 @@
     pub router: Option<vrrp::Settings>,
     /// Fleet purges.
     pub purges: Option<PurgeConfig>,
+    /// Fair queues at the door.
+    pub door: Option<DoorConfig>,
 }
 
 /// Starts the engine of a configuration, with what was known at the start. A second front may bring `extra`
@@ -87,7 +91,7 @@
 
 /// Serves until SIGTERM or SIGINT, and ends once all that was taken is answered.
 pub async fn serve(mut config: Config, extras: Extras) -> Result<(), ServeError> {
-    let Extras { front, router, purges } = extras;
+    let Extras { front, router, purges, door } = extras;
     let handed = inherit::listener();
     let handed = handed.map_err(|e| ServeError::System("the socket that was handed over".into(), e))?;
     config.handed_over = handed.is_some();
@@ -99,6 +103,9 @@
     let (bulletin, moves) = watch::channel(bulletin);
     let seed = config.seed().map_err(|why| ServeError::Field("seed", why))?;
     let host = Host::new(clock, engine);
+    if let Some(door) = door.clone() {
+        host.set_gate(Gate::new(door));
+    }
     let await_signal = |kind| signal(kind).map_err(|e| ServeError::System("signals".into(), e));
     let mut terminate = await_signal(SignalKind::terminate())?;
     let mut interrupt = await_signal(SignalKind::interrupt())?;
@@ -191,6 +198,9 @@
             _ = hangup.recv() => {
                 reload.notify_one();
                 read_again(&host, &config, &bulletin);
+                if let Some(door) = &door {
+                    read_door_again(&host, door);
+                }
             }
         }
     }
@@ -239,6 +249,17 @@
     }
 }
 
+/// Reads the door's file again: other weights hold from the next round; a file that can't be used changes nothing.
+pub fn read_door_again(host: &Rc<Host>, door: &DoorConfig) {
+    match door.again() {
+        Ok(fresh) => {
+            host.with_gate(|gate| gate.retune(fresh));
+            tracing::info!(file = %door.path.display(), "the door's file read again");
+        }
+        Err(why) => tracing::warn!(%why, "the door's old file stays"),
+    }
+}
+
 async fn bind(at: SocketAddr) -> Result<TcpListener, ServeError> {
     TcpListener::bind(at).await.map_err(|e| ServeError::System(format!("listen on {at}"), e))
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The edge proxy's command line.
 
 use argh::FromArgs;
+use calicobeam::admission::config::DoorConfig;
 use calicobeam::lifecycle::config::{read_json, Config, ConfigError};
 use calicobeam::lifecycle::front::FrontConfig;
 use calicobeam::lifecycle::serve::{self, Extras};
@@ -46,6 +47,9 @@
     /// the file of fleet purges; without it purges come from the bulletin alone
     #[argh(option)]
     purges: Option<PathBuf>,
+    /// the file of the door's fair queues; without it every request goes to the engine at once
+    #[argh(option)]
+    door: Option<PathBuf>,
 }
 
 /// Print the version.
@@ -69,6 +73,9 @@
     /// the file of fleet purges
     #[argh(option)]
     purges: Option<PathBuf>,
+    /// the file of the door's fair queues
+    #[argh(option)]
+    door: Option<PathBuf>,
 }
 
 /// Issue fleet purges and see how far they got.
@@ -150,6 +157,10 @@
     Ok(Some(set))
 }
 
+fn read_door(path: Option<PathBuf>) -> Result<Option<DoorConfig>, String> {
+    path.map(|path| DoorConfig::read(&path).map_err(|e| e.to_string())).transpose()
+}
+
 fn read_purges(path: Option<PathBuf>) -> Result<Option<PurgeConfig>, String> {
     path.map(|path| PurgeConfig::read(&path).map_err(|e| e.to_string())).transpose()
 }
@@ -229,6 +240,7 @@
             read_front(check.front, &config)?;
             read_vrrp(check.vrrp)?;
             read_purges(check.purges)?;
+            read_door(check.door)?;
             println!("calicobeam: the configuration of {:?} is in order", config.name);
         }
         Command::Serve(arguments) => {
@@ -236,11 +248,13 @@
             let front = read_front(arguments.front, &config)?;
             let router = read_vrrp(arguments.vrrp)?;
             let purges = read_purges(arguments.purges)?;
+            let door = read_door(arguments.door)?;
             logging();
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
             let tasks = tokio::task::LocalSet::new();
-            let served = tasks.block_on(&runtime, serve::serve(config, Extras { front, router, purges }));
+            let served =
+                tasks.block_on(&runtime, serve::serve(config, Extras { front, router, purges, door }));
             return served.map_err(|e| e.to_string());
         }
         Command::Purge(command) => purge(command.command)?,
--- a/src/memory/deadlines.rs
+++ b/src/memory/deadlines.rs
@@ -47,6 +47,16 @@
         None
     }
 
+    /// Entries held, those that no longer stand included.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether none is held.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Takes one that is due by `now` and `stands` still.
     pub fn take(&mut self, now: f64, stands: impl Fn(T, f64) -> bool) -> Option<T> {
         if self.next(stands)? > now {
--- a/src/memory/requests.rs
+++ b/src/memory/requests.rs
@@ -32,6 +32,8 @@
     pub cached: Option<String>,
     /// Body of a write.
     pub body: Bytes,
+    /// The client's address, where the front knows it: the door shares by it.
+    pub client: Option<std::net::IpAddr>,
 }
 
 /// The one final answer.
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -219,7 +219,7 @@
             }
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 host.with(|engine| engine.counters.clients += 1);
                 let open = Open::new(stop.clone());
                 // Above the cap one client waits here, the others in the machine's queue.
@@ -227,7 +227,7 @@
                 let (task_host, front, stop) = (host.clone(), front.clone(), stop.clone());
                 host.spawn("a client's connection", async move {
                     let _open = open;
-                    let _ = serve(&task_host, &*front, stream, &stop, &seat).await;
+                    let _ = serve(&task_host, &*front, stream, peer.ip(), &stop, &seat).await;
                 });
             }
             Err(_) => {
@@ -261,6 +261,7 @@
     host: &Rc<Host>,
     front: &dyn Front,
     stream: TcpStream,
+    peer: std::net::IpAddr,
     stop: &Stop,
     seat: &Seat,
 ) -> Result<(), WireError> {
@@ -292,11 +293,13 @@
         whole_by = None;
         let mut answer = match front.take(host, &request, host.clock.now()) {
             Intake::Now(answer) => answer,
-            Intake::Ask(ask, context) => match wait(host, &mut link, *ask, &mut early).await {
-                Waited::Left => return Ok(()),
-                Waited::NotTaken(why) => front.not_taken(why),
-                Waited::Answer(answer) => front.word(&context, answer),
-            },
+            Intake::Ask(ask, context) => {
+                match wait(host, &mut link, Ask { client: Some(peer), ..*ask }, &mut early).await {
+                    Waited::Left => return Ok(()),
+                    Waited::NotTaken(why) => front.not_taken(why),
+                    Waited::Answer(answer) => front.word(&context, answer),
+                }
+            }
         };
         let fault = answer.close;
         answer.close |= !request.keep_alive || stop.turning_away.get();
--- a/src/wire/manage.rs
+++ b/src/wire/manage.rs
@@ -63,7 +63,7 @@
                 Some(id) => self.maintain(host, id, word == "maint"),
                 None => HttpAnswer::status(404),
             },
-            ["stats"] => text(host.with(|engine| engine.figures())),
+            ["stats"] => text(host.figures()),
             _ => text("ok\n".into()),
         }
     }
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -104,6 +104,7 @@
             key: key.map(String::from),
             cached: header("if-none-match")?.and_then(bare_tag),
             body: request.body.clone(),
+            client: None,
         }))
     }
 }
