The door keeps a reserve for light clients; a loopback test with a heavy client

Now a quarter of the limit (reserve_share) is taken only by clients with nothing open or waiting, at once, and the round robin hands out the rest.

--- a/src/admission/config.rs
+++ b/src/admission/config.rs
@@ -59,6 +59,9 @@
     /// Share of the door's capacity that tickets may book.
     #[serde(default = "ticket_share")]
     pub ticket_share: f64,
+    /// Share of the limit kept for clients with nothing open and nothing waiting.
+    #[serde(default = "reserve_share")]
+    pub reserve_share: f64,
     /// The least come-back told, in milliseconds.
     #[serde(default = "come_back_least_ms")]
     pub come_back_least_ms: f64,
@@ -106,6 +109,9 @@
 fn ticket_share() -> f64 {
     0.25
 }
+fn reserve_share() -> f64 {
+    0.25
+}
 fn come_back_least_ms() -> f64 {
     100.0
 }
@@ -170,7 +176,7 @@
             }
         }
         let within = |v: f64, low: f64, high: f64| v.is_finite() && v >= low && v <= high;
-        let checks: [(&'static str, bool, &str); 11] = [
+        let checks: [(&'static str, bool, &str); 12] = [
             (
                 "limit",
                 l.least >= 1.0 && l.least <= l.first && l.first <= l.most && l.most <= 100_000.0,
@@ -182,6 +188,7 @@
             ("bytes_most", (1..=1 << 32).contains(&self.bytes_most), "1 to 4 GiB"),
             ("tickets_most", (1..=10_000_000).contains(&self.tickets_most), "1 to 10,000,000"),
             ("ticket_share", within(self.ticket_share, 0.0, 1.0), "0 to 1"),
+            ("reserve_share", within(self.reserve_share, 0.0, 0.9), "0 to 0.9"),
             (
                 "come_back_least_ms",
                 within(self.come_back_least_ms, 1.0, self.come_back_most_ms),
@@ -209,6 +216,7 @@
             bytes_most: self.bytes_most,
             tickets_most: self.tickets_most,
             ticket_share: self.ticket_share,
+            reserve_share: self.reserve_share,
             come_back_least_ms: self.come_back_least_ms,
             come_back_most_ms: self.come_back_most_ms,
             least_service_ms: self.least_service_ms,
--- a/src/admission/fair.rs
+++ b/src/admission/fair.rs
@@ -5,6 +5,11 @@
 //! given its weight as quantum per round, and within a tenant its clients in a ring, one request each per turn.
 //! A request costs one; the door's capacity is a number of requests at once (a concurrency limit), not bytes.
 //!
+//! **A reserve for light clients.** A share of the limit ([`DoorBounds::reserve_share`]) is taken only by clients
+//! that have nothing open and nothing waiting, at once as they come: a heavy client's backlog never stands
+//! between a light one and a free place, and the round robin hands out only what lies outside the reserve. A
+//! heavy client alone has the rest of the limit, which an adaptive limit widens.
+//!
 //! **Capacity.** At most `limit` admitted requests are open at once. The limit is fixed, or moves as TCP's window
 //! does (additive increase while it binds and answers come in time, a multiplicative cut at most once per
 //! [`CUT_GAP_MS`] when the decision module refuses or a request ends late), within its bounds.
@@ -56,6 +61,8 @@
     pub tickets_most: usize,
     /// The share of a slot's capacity that tickets may book.
     pub ticket_share: f64,
+    /// The share of the limit that only clients with nothing open and nothing waiting may take.
+    pub reserve_share: f64,
     /// The least come-back that is told, in milliseconds.
     pub come_back_least_ms: f64,
     /// The longest come-back that is told, in milliseconds.
@@ -86,7 +93,8 @@
             + deque(n, 4)
             + deque(n, size_of::<RequestId>())
             + n * DUE_BYTES
-            + table(open_most, size_of::<(RequestId, f64)>())
+            + table(open_most, size_of::<(RequestId, (f64, ClientKey, bool))>())
+            + table(open_most, size_of::<(ClientKey, u32)>())
             + table(self.tickets_most, size_of::<(ClientKey, usize)>())
             + self.tickets_most * TICKET_BYTES
             + deque((self.come_back_most_ms / SLOT_MS) as usize + 2, 4)
@@ -183,12 +191,21 @@
     Other,
 }
 
+/// Where a waiting request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Line {
+    /// Its client came back with a ticket.
+    Ticket,
+    /// In the round robin.
+    Round,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     client: ClientKey,
     tenant: u32,
     bytes: usize,
-    laned: bool,
+    line: Line,
     /// Its key in the deadlines.
     due: u64,
 }
@@ -242,7 +259,10 @@
     service_ms: f64,
     weights: AHashMap<u32, f64>,
     weight: f64,
-    open: AHashMap<RequestId, f64>,
+    open: AHashMap<RequestId, (f64, ClientKey, bool)>,
+    open_by: AHashMap<ClientKey, u32>,
+    /// Open requests that came in by the reserve.
+    open_light: usize,
     entries: AHashMap<RequestId, Entry>,
     flows: AHashMap<ClientKey, Flow>,
     tenants: AHashMap<u32, Tenant>,
@@ -271,6 +291,8 @@
             weights,
             weight,
             open: AHashMap::new(),
+            open_by: AHashMap::new(),
+            open_light: 0,
             entries: AHashMap::new(),
             flows: AHashMap::new(),
             tenants: AHashMap::new(),
@@ -322,8 +344,22 @@
         self.current / self.service_ms.max(1.0)
     }
 
+    fn places(&self) -> usize {
+        self.current.floor().max(1.0) as usize
+    }
+
     fn has_room(&self) -> bool {
-        (self.open.len() as f64) < self.current.floor().max(1.0)
+        self.open.len() < self.places()
+    }
+
+    /// Room outside the reserve for light clients.
+    fn has_room_for_rounds(&self) -> bool {
+        let reserve = (self.bounds.reserve_share * self.places() as f64).ceil() as usize;
+        self.has_room() && self.open.len() - self.open_light + reserve.min(self.places() - 1) < self.places()
+    }
+
+    fn is_sparse(&self, client: ClientKey) -> bool {
+        !self.open_by.contains_key(&client) && !self.flows.contains_key(&client)
     }
 
     /// A request comes to the door.
@@ -338,13 +374,19 @@
             self.tickets.pop(&a.client);
             self.figures.honoured += 1;
             if self.has_room() {
-                return self.admit_now(now_ms, a.id);
+                return self.admit_now(now_ms, a.id, a.client);
             }
-            self.enter(a, true);
+            self.enter(a, Line::Ticket);
             return Verdict::Queue;
         }
-        if self.has_room() && self.entries.is_empty() {
-            return self.admit_now(now_ms, a.id);
+        if self.has_room_for_rounds() && self.entries.is_empty() {
+            return self.admit_now(now_ms, a.id, a.client);
+        }
+        if self.is_sparse(a.client) && self.has_room() && self.lane.is_empty() {
+            self.open_light += 1;
+            self.admit_now(now_ms, a.id, a.client);
+            self.open.get_mut(&a.id).expect("just opened").2 = true;
+            return Verdict::Admit;
         }
         let flow_len = self.flows.get(&a.client).map_or(0, |f| f.queue.len());
         let tenant_len = self.tenants.get(&a.tenant).map_or(0, |t| t.queued);
@@ -364,7 +406,7 @@
         };
         match why {
             None => {
-                self.enter(a, false);
+                self.enter(a, Line::Round);
                 Verdict::Queue
             }
             Some(why) => {
@@ -375,19 +417,24 @@
         }
     }
 
-    fn admit_now(&mut self, now_ms: f64, id: RequestId) -> Verdict {
-        self.open.insert(id, now_ms);
+    fn admit_now(&mut self, now_ms: f64, id: RequestId, client: ClientKey) -> Verdict {
+        self.open_one(now_ms, id, client);
         self.figures.admitted += 1;
         Verdict::Admit
     }
 
-    fn enter(&mut self, a: Arrival, laned: bool) {
+    fn open_one(&mut self, now_ms: f64, id: RequestId, client: ClientKey) {
+        self.open.insert(id, (now_ms, client, false));
+        *self.open_by.entry(client).or_default() += 1;
+    }
+
+    fn enter(&mut self, a: Arrival, line: Line) {
         let due = (a.give_up_ms - self.bounds.least_service_ms).max(0.0).to_bits();
-        let entry = Entry { client: a.client, tenant: a.tenant, bytes: a.bytes, laned, due };
+        let entry = Entry { client: a.client, tenant: a.tenant, bytes: a.bytes, line, due };
         self.entries.insert(a.id, entry);
         self.bytes += a.bytes;
         self.due.insert((due, a.id));
-        if laned {
+        if line == Line::Ticket {
             return self.lane.push_back(a.id);
         }
         let flow = self.flows.entry(a.client).or_default();
@@ -473,11 +520,15 @@
         }
     }
 
-    /// The next queued request whose turn it is: ticket holders first, then by deficit round robin.
+    /// The next queued request whose turn it is: ticket holders first, then by deficit round robin where there
+    /// is room outside the reserve.
     fn pick(&mut self) -> Option<RequestId> {
         if let Some(id) = self.lane.pop_front() {
             return Some(id);
         }
+        if !self.has_room_for_rounds() {
+            return None;
+        }
         let least = self.weights.values().copied().chain([self.weight]).fold(f64::INFINITY, f64::min);
         let rounds = self.ring.len() * (1.0 / least.max(0.01)).ceil() as usize + 2;
         for _ in 0..rounds {
@@ -519,7 +570,7 @@
         let entry = self.entries.remove(&id)?;
         self.bytes -= entry.bytes;
         self.due.remove(&(entry.due, id));
-        if entry.laned {
+        if entry.line == Line::Ticket {
             self.lane.retain(|queued| *queued != id);
             return Some(entry);
         }
@@ -551,7 +602,14 @@
 
     /// An admitted request ended. Returns the queued requests that go to the engine now, in order.
     pub fn ended(&mut self, now_ms: f64, id: RequestId, ending: Ending) -> Vec<RequestId> {
-        if let Some(since) = self.open.remove(&id) {
+        if let Some((since, client, light)) = self.open.remove(&id) {
+            self.open_light -= usize::from(light);
+            if let Some(count) = self.open_by.get_mut(&client) {
+                *count -= 1;
+                if *count == 0 {
+                    self.open_by.remove(&client);
+                }
+            }
             if ending == Ending::Answered {
                 self.service_ms += SERVICE_GAIN * ((now_ms - since).max(0.0) - self.service_ms);
             }
@@ -585,7 +643,7 @@
             let Some(entry) = self.entries.remove(&id) else { continue };
             self.bytes -= entry.bytes;
             self.due.remove(&(entry.due, id));
-            self.open.insert(id, now_ms);
+            self.open_one(now_ms, id, entry.client);
             self.figures.released += 1;
             out.push(id);
         }
@@ -619,7 +677,8 @@
     pub fn heap_bytes(&self) -> usize {
         use std::mem::size_of;
         let map = |cap: usize, entry: usize| cap * (entry + 1);
-        map(self.open.capacity(), size_of::<(RequestId, f64)>())
+        map(self.open.capacity(), size_of::<(RequestId, (f64, ClientKey, bool))>())
+            + map(self.open_by.capacity(), size_of::<(ClientKey, u32)>())
             + map(self.entries.capacity(), size_of::<(RequestId, Entry)>())
             + map(self.flows.capacity(), size_of::<(ClientKey, Flow)>())
             + self.flows.values().map(|f| f.queue.capacity() * size_of::<RequestId>()).sum::<usize>()
--- a/tests/door.rs
+++ b/tests/door.rs
@@ -12,6 +12,7 @@
         bytes_most: 1 << 20,
         tickets_most: 64,
         ticket_share: 0.25,
+        reserve_share: 0.0,
         come_back_least_ms: 100.0,
         come_back_most_ms: 10_000.0,
         least_service_ms: 20.0,
@@ -181,3 +182,22 @@
     let rest = drain(&mut door, &mut open, 100, &mut now);
     assert_eq!(even.len() + after.len() + rest.len(), 40, "every one queued was let in");
 }
+
+#[test]
+fn a_light_client_takes_the_reserve_at_once_beside_a_heavy_backlog() {
+    let limit = Limit { first: 4.0, least: 1.0, most: 4.0, adaptive: false };
+    let mut door =
+        FairQueue::new(DoorBounds { reserve_share: 0.25, ..bounds() }, limit, 1.0, Default::default());
+    let now = 1_000.0;
+    let verdicts: Vec<Verdict> = (1..=8).map(|id| door.arrive(now, arrival(id, 1, 0, now))).collect();
+    assert_eq!(
+        verdicts.iter().filter(|v| **v == Verdict::Admit).count(),
+        3,
+        "the heavy client keeps out of the reserve"
+    );
+    assert_eq!(door.arrive(now, arrival(50, 2, 0, now)), Verdict::Admit, "a light client goes in at once");
+    assert_eq!(door.arrive(now, arrival(51, 2, 0, now)), Verdict::Queue, "its second waits its turn");
+    // Places outside the reserve go by turn: the heavy client's next, then the light client's second.
+    assert_eq!(door.ended(now + 5.0, 1, Ending::Answered), [4]);
+    assert_eq!(door.ended(now + 6.0, 2, Ending::Answered), [51]);
+}
--- /dev/null
+++ b/tests/door_loopback.rs
@@ -0,0 +1,239 @@
+//! The door's fair queues in the program itself: a proxy process before a stand-in fleet of fixed capacity, a
+//! heavy client sending a hundred times the others' rate, each client from an address of its own.
+
+mod stand_ins;
+
+use stand_ins::slow_box::SlowFleet;
+use stand_ins::{folder, run};
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
+use tokio::task::spawn_local;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_calicobeam");
+
+/// What a client got: the status, the come-back time where one was told, and how long it took.
+#[derive(Clone, Copy, Debug)]
+struct Got {
+    status: u16,
+    come_back_ms: Option<f64>,
+    took_ms: f64,
+}
+
+/// One request from `from`; `abandon` closes the connection right after writing it.
+async fn ask(proxy: SocketAddr, from: IpAddr, id: u64, write: bool, abandon: bool) -> Option<Got> {
+    let socket = TcpSocket::new_v4().ok()?;
+    socket.bind(SocketAddr::new(from, 0)).ok()?;
+    let start = Instant::now();
+    let mut stream = socket.connect(proxy).await.ok()?;
+    let request = if write {
+        format!(
+            "PUT /ops/ad-post/{id:016x} HTTP/1.1\r\nHost: t\r\nX-Call-Id: {id:016x}\r\nX-Patience-Ms: 2000\r\n\
+             X-Dedupe-Key: k{id}\r\nContent-Length: 2\r\nConnection: close\r\n\r\nad"
+        )
+    } else {
+        format!(
+            "GET /ops/small-object/{:016x} HTTP/1.1\r\nHost: t\r\nX-Call-Id: {id:016x}\r\nX-Patience-Ms: 2000\r\n\
+             Connection: close\r\n\r\n",
+            id % 500
+        )
+    };
+    stream.write_all(request.as_bytes()).await.ok()?;
+    if abandon {
+        return None;
+    }
+    let mut bytes = Vec::new();
+    tokio::time::timeout(Duration::from_secs(4), stream.read_to_end(&mut bytes)).await.ok()?.ok()?;
+    let text = String::from_utf8_lossy(&bytes).to_string();
+    let status = text.get(9..12)?.parse().ok()?;
+    let come_back_ms = text
+        .lines()
+        .find_map(|l| l.strip_prefix("X-Come-Back-Ms: ").or_else(|| l.strip_prefix("x-come-back-ms: ")))
+        .and_then(|v| v.trim().parse().ok());
+    Some(Got { status, come_back_ms, took_ms: start.elapsed().as_secs_f64() * 1_000.0 })
+}
+
+fn median(mut xs: Vec<f64>) -> f64 {
+    xs.sort_by(f64::total_cmp);
+    xs[xs.len() / 2]
+}
+
+/// Call ids, new each time.
+#[derive(Clone, Default)]
+struct Ids(Rc<Cell<u64>>);
+
+impl Ids {
+    fn next(&self) -> u64 {
+        self.0.set(self.0.get() + 1);
+        self.0.get()
+    }
+}
+
+struct Proxy(Child);
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[test]
+fn a_heavy_client_leaves_the_others_their_pace_and_is_told_honestly_when_to_come_back() {
+    run(async {
+        let fleet = SlowFleet::start(72, 4, 8, 20).await;
+        let dir = folder("door-loopback");
+        let port = |ip: &str| TcpListener::bind(format!("{ip}:0")).unwrap().local_addr().unwrap();
+        let (listen, mgmt) = (port("127.0.72.10"), port("127.0.72.10"));
+        let mut text =
+            std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json")).unwrap();
+        for (k, at) in (7101..=7104).enumerate() {
+            text = text.replace(&format!("127.0.0.1:{at}"), &fleet.addresses[k].to_string());
+        }
+        let text = text.replace(
+            "\"listen\": \"127.0.0.1:5050\",",
+            &format!("\"listen\": \"{listen}\",\n  \"mgmt\": \"{mgmt}\","),
+        );
+        std::fs::write(dir.join("config.json"), text).unwrap();
+        let door = r#"{"limit":{"first":8,"least":8,"most":8},"per_client_most":16,"come_back_least_ms":100,"come_back_most_ms":3000}"#;
+        std::fs::write(dir.join("door.json"), door).unwrap();
+        let log = std::fs::File::create(dir.join("proxy.log")).unwrap();
+        let config = dir.join("config.json");
+        let file = dir.join("door.json");
+        let args = ["serve", "--config", config.to_str().unwrap(), "--door", file.to_str().unwrap()];
+        let _proxy = Proxy(Command::new(PROGRAM).args(args).stderr(Stdio::from(log)).spawn().unwrap());
+        for _ in 0..500 {
+            if tokio::net::TcpStream::connect(listen).await.is_ok() {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let ids = Ids::default();
+        let next = || ids.next();
+        // The others: ten clients, each a request every 100 ms.
+        let others = |seconds: f64, got: Rc<RefCell<Vec<Got>>>| {
+            let ids = ids.clone();
+            (0..10u8).map(move |k| {
+                let (got, ids) = (got.clone(), ids.clone());
+                spawn_local(async move {
+                    let from: IpAddr = format!("127.0.73.{}", 10 + k).parse().unwrap();
+                    let end = Instant::now() + Duration::from_secs_f64(seconds);
+                    while Instant::now() < end {
+                        if let Some(answer) = ask(listen, from, ids.next(), false, false).await {
+                            got.borrow_mut().push(answer);
+                        }
+                        tokio::time::sleep(Duration::from_millis(100)).await;
+                    }
+                })
+            })
+        };
+        let alone: Rc<RefCell<Vec<Got>>> = Rc::default();
+        for task in others(3.0, alone.clone()).collect::<Vec<_>>() {
+            task.await.unwrap();
+        }
+        // Now with the heavy client: twenty loops, each a request every 20 ms, a hundred times one other's rate.
+        let heavy_got: Rc<RefCell<Vec<Got>>> = Rc::default();
+        let heavy_from: IpAddr = "127.0.73.2".parse().unwrap();
+        let heavy: Vec<_> = (0..20)
+            .map(|_| {
+                let (got, ids) = (heavy_got.clone(), ids.clone());
+                spawn_local(async move {
+                    let end = Instant::now() + Duration::from_secs(4);
+                    while Instant::now() < end {
+                        let id = ids.next();
+                        spawn_local({
+                            let got = got.clone();
+                            async move {
+                                if let Some(answer) = ask(listen, heavy_from, id, false, false).await {
+                                    got.borrow_mut().push(answer);
+                                }
+                            }
+                        });
+                        tokio::time::sleep(Duration::from_millis(20)).await;
+                    }
+                })
+            })
+            .collect();
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        // A client that asks for too much at once is refused with a time to come back, and comes back then,
+        // while the heavy client still presses.
+        let returner = {
+            let ids = ids.clone();
+            spawn_local(async move {
+                let from: IpAddr = "127.0.73.3".parse().unwrap();
+                let burst: Vec<_> =
+                    (0..40).map(|_| spawn_local(ask(listen, from, ids.next(), false, false))).collect();
+                let mut told = Vec::new();
+                for request in burst {
+                    told.extend(request.await.unwrap().and_then(|g| g.come_back_ms));
+                }
+                let wait = told.iter().copied().fold(0.0, f64::max);
+                tokio::time::sleep(Duration::from_secs_f64(wait / 1_000.0)).await;
+                let later = ask(listen, from, ids.next(), false, false).await;
+                (told.len(), wait, later)
+            })
+        };
+        let crowded: Rc<RefCell<Vec<Got>>> = Rc::default();
+        let tasks: Vec<_> = others(3.0, crowded.clone()).collect();
+        // An ad-post of the heavy client, whose queue is full: a final refusal, and never sent.
+        let mut refused_posts = Vec::new();
+        for _ in 0..5 {
+            let id = next();
+            let got = ask(listen, heavy_from, id, true, false).await.unwrap();
+            if got.status == 503 {
+                refused_posts.push(id);
+            }
+            assert!(got.status == 503 || got.status == 200, "{got:?}");
+        }
+        // Clients that close while they wait: their places are freed.
+        let abandoned: Vec<u64> = (0..10).map(|_| next()).collect();
+        for id in &abandoned {
+            ask(listen, "127.0.73.40".parse().unwrap(), *id, false, true).await;
+        }
+        for task in tasks {
+            task.await.unwrap();
+        }
+        for task in heavy {
+            task.await.unwrap();
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let (refusals, wait, later) = returner.await.unwrap();
+        assert!(refusals > 0 && wait >= 100.0, "{refusals} refusals, come back in {wait} ms");
+        let later = later.expect("an answer");
+        assert_eq!(later.status, 200, "told to come back in {wait} ms, it came and got {later:?}");
+        let told: Vec<f64> = heavy_got.borrow().iter().filter_map(|g| g.come_back_ms).collect();
+        assert!(!told.is_empty(), "the heavy client was refused with a time to come back");
+        let (alone, crowded) = (alone.borrow().clone(), crowded.borrow().clone());
+        assert!(alone.iter().chain(&crowded).all(|g| g.status == 200), "the others were all served");
+        let (base, with) = (
+            median(alone.iter().map(|g| g.took_ms).collect()),
+            median(crowded.iter().map(|g| g.took_ms).collect()),
+        );
+        let heavy_served = heavy_got.borrow().iter().filter(|g| g.status == 200).count();
+        println!("others alone {base:.1} ms, beside the heavy client {with:.1} ms; heavy served {heavy_served} of {}", heavy_got.borrow().len());
+        assert!(with <= 1.2 * base, "the others' median went from {base:.1} ms to {with:.1} ms");
+        assert!(heavy_served > 0, "the heavy client still had its share");
+        for id in refused_posts {
+            assert!(!fleet.seen.borrow().contains(&format!("{id:016x}")), "a refused ad-post was sent on");
+        }
+        let seen_abandoned =
+            abandoned.iter().filter(|id| fleet.seen.borrow().contains(&format!("{id:016x}"))).count();
+        let figures =
+            calicobeam::purge::wire::call(mgmt, "GET", "/stats", b"", Duration::from_secs(2)).await.unwrap();
+        let figures = String::from_utf8_lossy(&figures.body).to_string();
+        let left: usize = figures
+            .lines()
+            .find_map(|l| l.strip_prefix("door_left_total "))
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(0);
+        assert!(
+            seen_abandoned + left >= abandoned.len(),
+            "abandoned: {seen_abandoned} sent, {left} freed\n{figures}"
+        );
+        assert!(left > 0, "{figures}");
+    });
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -23,6 +23,7 @@
 use tokio::task::spawn_local;
 
 pub mod purge_box;
+pub mod slow_box;
 
 /// The time at which every test begins.
 pub const START_MS: f64 = 1_764_576_000_000.0;
--- /dev/null
+++ b/tests/stand_ins/slow_box.rs
@@ -0,0 +1,68 @@
+//! A stand-in fleet of a fixed capacity, on loopback: several listeners of the pop caches' line protocol share
+//! a number of slots, and each request holds one for a set time before its answer. What is beyond the slots waits
+//! in arrival order, as at a real box that is full. It notes the id of every request that reached it.
+#![allow(dead_code)]
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::task::spawn_local;
+
+/// The boxes and what reached them.
+pub struct SlowFleet {
+    pub addresses: Vec<SocketAddr>,
+    pub seen: Rc<RefCell<HashSet<String>>>,
+}
+
+impl SlowFleet {
+    /// `boxes` listeners at `127.0.NET.1` and on, sharing `slots`, each request taking `work_ms`.
+    pub async fn start(net: u8, boxes: usize, slots: usize, work_ms: u64) -> Self {
+        let slots = Rc::new(Semaphore::new(slots));
+        let seen: Rc<RefCell<HashSet<String>>> = Rc::default();
+        let mut addresses = Vec::new();
+        for k in 0..boxes {
+            let listener = TcpListener::bind(format!("127.0.{net}.{}:0", k + 1)).await.unwrap();
+            addresses.push(listener.local_addr().unwrap());
+            let (slots, seen) = (slots.clone(), seen.clone());
+            spawn_local(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    spawn_local(serve(stream, slots.clone(), seen.clone(), work_ms));
+                }
+            });
+        }
+        Self { addresses, seen }
+    }
+}
+
+async fn serve(stream: TcpStream, slots: Rc<Semaphore>, seen: Rc<RefCell<HashSet<String>>>, work_ms: u64) {
+    let (read, write) = stream.into_split();
+    let write = Rc::new(tokio::sync::Mutex::new(write));
+    let mut read = BufReader::new(read);
+    let mut line = String::new();
+    while read.read_line(&mut line).await.is_ok_and(|n| n > 0) {
+        let words: Vec<String> = line.split_whitespace().map(String::from).collect();
+        line.clear();
+        if words.len() != 4 || words[0] != "GET" {
+            continue;
+        }
+        let mut body = vec![0; words[3].parse::<usize>().unwrap_or(0) + 2];
+        if read.read_exact(&mut body).await.is_err() {
+            return;
+        }
+        seen.borrow_mut().insert(words[1].clone());
+        let (slots, write, id) = (slots.clone(), write.clone(), words[1].clone());
+        spawn_local(async move {
+            let Ok(_slot) = slots.acquire().await else { return };
+            tokio::time::sleep(Duration::from_millis(work_ms)).await;
+            let bytes = b"the bytes";
+            let head = format!("{id} ACK sum=t1,t0=1 {}\r\n", bytes.len());
+            let answer = [head.as_bytes(), bytes, b"\r\n"].concat();
+            let _ = write.lock().await.write_all(&answer).await;
+        });
+    }
+}
