--- /dev/null
+++ b/examples/door_heavy.rs
@@ -0,0 +1,160 @@
+//! The heavy client on loopback, with the door's fair queues and without: a proxy process before a stand-in
+//! fleet of 8 slots at 20 ms a request, ten clients at 10 requests a second each, and one client at a hundred
+//! times that. Prints the others' delay (p50, p99) and what the heavy client got, in each of four runs.
+//!
+//!     cargo build --release && cargo run --release --example door_heavy -- [SECONDS]
+
+#[path = "../tests/stand_ins/slow_box.rs"]
+mod slow_box;
+
+use slow_box::SlowFleet;
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
+use tokio::task::spawn_local;
+
+async fn ask(proxy: SocketAddr, from: IpAddr, id: u64) -> Option<(u16, f64)> {
+    let socket = TcpSocket::new_v4().ok()?;
+    socket.bind(SocketAddr::new(from, 0)).ok()?;
+    let start = Instant::now();
+    let mut stream = socket.connect(proxy).await.ok()?;
+    let request = format!(
+        "GET /ops/small-object/{:016x} HTTP/1.1\r\nHost: t\r\nX-Call-Id: {id:016x}\r\nX-Patience-Ms: 2000\r\n\
+         Connection: close\r\n\r\n",
+        id % 500
+    );
+    stream.write_all(request.as_bytes()).await.ok()?;
+    let mut bytes = Vec::new();
+    tokio::time::timeout(Duration::from_secs(4), stream.read_to_end(&mut bytes)).await.ok()?.ok()?;
+    let status = String::from_utf8_lossy(bytes.get(9..12)?).parse().ok()?;
+    Some((status, start.elapsed().as_secs_f64() * 1_000.0))
+}
+
+/// The proxy, ended however the run ends.
+struct Running(std::process::Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn percentile(sorted: &[f64], share: f64) -> f64 {
+    sorted.get(((sorted.len().max(1) - 1) as f64 * share).round() as usize).copied().unwrap_or(0.0)
+}
+
+fn main() {
+    let seconds: f64 = std::env::args().nth(1).and_then(|s| s.parse().ok()).unwrap_or(4.0);
+    let program =
+        PathBuf::from(std::env::var("CALICOBEAM").unwrap_or_else(|_| "target/release/calicobeam".into()));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, run(program, seconds));
+}
+
+async fn run(program: PathBuf, seconds: f64) {
+    let dir = std::env::temp_dir().join(format!("calicobeam-door-heavy-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let fleet = SlowFleet::start(74, 4, 8, 20).await;
+    println!("| door | heavy client | others p50 ms | others p99 ms | others served | heavy served | heavy refused |");
+    println!("| --- | --- | ---: | ---: | ---: | ---: | ---: |");
+    let ids = Rc::new(Cell::new(0u64));
+    for door in [false, true] {
+        for heavy in [false, true] {
+            let (others, heavy_got) = play(&program, &dir, &fleet, door, heavy, seconds, ids.clone()).await;
+            let mut times: Vec<f64> = others.iter().filter(|(s, _)| *s == 200).map(|(_, t)| *t).collect();
+            times.sort_by(f64::total_cmp);
+            let served = heavy_got.iter().filter(|s| **s == 200).count();
+            let refused = heavy_got.iter().filter(|s| **s == 503 || **s == 429).count();
+            println!(
+                "| {} | {} | {:.1} | {:.1} | {} of {} | {served} | {refused} |",
+                if door { "on" } else { "off" },
+                if heavy { "yes" } else { "no" },
+                percentile(&times, 0.5),
+                percentile(&times, 0.99),
+                times.len(),
+                others.len(),
+            );
+        }
+    }
+    let _ = std::fs::remove_dir_all(&dir);
+}
+
+async fn play(
+    program: &Path,
+    dir: &Path,
+    fleet: &SlowFleet,
+    door: bool,
+    heavy: bool,
+    seconds: f64,
+    ids: Rc<Cell<u64>>,
+) -> (Vec<(u16, f64)>, Vec<u16>) {
+    let listen = TcpListener::bind("127.0.74.10:0").unwrap().local_addr().unwrap();
+    let mut text =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json")).unwrap();
+    for (k, at) in (7101..=7104).enumerate() {
+        text = text.replace(&format!("127.0.0.1:{at}"), &fleet.addresses[k].to_string());
+    }
+    let text = text.replace("127.0.0.1:5050", &listen.to_string());
+    let config = dir.join("config.json");
+    std::fs::write(&config, text).unwrap();
+    let file = dir.join("door.json");
+    std::fs::write(&file, r#"{"limit":{"first":8,"least":8,"most":8},"per_client_most":16}"#).unwrap();
+    let mut args = vec!["serve".to_string(), "--config".into(), config.display().to_string()];
+    if door {
+        args.extend(["--door".into(), file.display().to_string()]);
+    }
+    let mut command = Command::new(program);
+    command.args(&args).env("CALICOBEAM_LOG", "warn").stdout(Stdio::null()).stderr(Stdio::null());
+    let _child = Running(command.spawn().unwrap());
+    while tokio::net::TcpStream::connect(listen).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let next = move || {
+        ids.set(ids.get() + 1);
+        ids.get()
+    };
+    let heavy_got: Rc<RefCell<Vec<u16>>> = Rc::default();
+    let end = Instant::now() + Duration::from_secs_f64(seconds + 0.5);
+    let mut loops = Vec::new();
+    if heavy {
+        for _ in 0..20 {
+            let (got, next) = (heavy_got.clone(), next.clone());
+            loops.push(spawn_local(async move {
+                while Instant::now() < end {
+                    let (got, id) = (got.clone(), next());
+                    spawn_local(async move {
+                        let status = ask(listen, "127.0.75.2".parse().unwrap(), id).await.map_or(0, |a| a.0);
+                        got.borrow_mut().push(status);
+                    });
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }));
+        }
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let others: Rc<RefCell<Vec<(u16, f64)>>> = Rc::default();
+    for k in 0..10u8 {
+        let (got, next) = (others.clone(), next.clone());
+        loops.push(spawn_local(async move {
+            let from: IpAddr = format!("127.0.75.{}", 10 + k).parse().unwrap();
+            while Instant::now() < end {
+                let answer = ask(listen, from, next()).await.unwrap_or((0, 0.0));
+                got.borrow_mut().push(answer);
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }));
+    }
+    for task in loops {
+        task.await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let others = others.borrow().clone();
+    let heavy = heavy_got.borrow().clone();
+    (others, heavy)
+}
--- a/tests/door_loopback.rs
+++ b/tests/door_loopback.rs
@@ -26,6 +26,18 @@
 
 /// One request from `from`; `abandon` closes the connection right after writing it.
 async fn ask(proxy: SocketAddr, from: IpAddr, id: u64, write: bool, abandon: bool) -> Option<Got> {
+    ask_of(proxy, from, id, 0, write, abandon).await
+}
+
+/// The same, for an object of `group`.
+async fn ask_of(
+    proxy: SocketAddr,
+    from: IpAddr,
+    id: u64,
+    group: u32,
+    write: bool,
+    abandon: bool,
+) -> Option<Got> {
     let socket = TcpSocket::new_v4().ok()?;
     socket.bind(SocketAddr::new(from, 0)).ok()?;
     let start = Instant::now();
@@ -38,7 +50,7 @@
     } else {
         format!(
             "GET /ops/small-object/{:016x} HTTP/1.1\r\nHost: t\r\nX-Call-Id: {id:016x}\r\nX-Patience-Ms: 2000\r\n\
-             Connection: close\r\n\r\n",
+             X-Set: {group}\r\nConnection: close\r\n\r\n",
             id % 500
         )
     };
@@ -62,6 +74,9 @@
     xs[xs.len() / 2]
 }
 
+/// When an answer came, for which group, and its status.
+type Heard = (Instant, u32, Option<u16>);
+
 /// Call ids, new each time.
 #[derive(Clone, Default)]
 struct Ids(Rc<Cell<u64>>);
@@ -82,36 +97,41 @@
     }
 }
 
+/// A proxy process with a door before `fleet`, at `127.0.NET.10`; returns it with its two addresses.
+async fn proxy(fleet: &SlowFleet, net: u8, name: &str, door: &str) -> (Proxy, SocketAddr, SocketAddr) {
+    let dir = folder(name);
+    let ip = format!("127.0.{net}.10");
+    let port = |ip: &str| TcpListener::bind(format!("{ip}:0")).unwrap().local_addr().unwrap();
+    let (listen, mgmt) = (port(&ip), port(&ip));
+    let mut text =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json")).unwrap();
+    for (k, at) in (7101..=7104).enumerate() {
+        text = text.replace(&format!("127.0.0.1:{at}"), &fleet.addresses[k].to_string());
+    }
+    let addresses = format!("\"listen\": \"{listen}\",\n  \"mgmt\": \"{mgmt}\",");
+    let text = text.replace("\"listen\": \"127.0.0.1:5050\",", &addresses);
+    std::fs::write(dir.join("config.json"), text).unwrap();
+    std::fs::write(dir.join("door.json"), door).unwrap();
+    let log = std::fs::File::create(dir.join("proxy.log")).unwrap();
+    let (config, file) = (dir.join("config.json"), dir.join("door.json"));
+    let args = ["serve", "--config", config.to_str().unwrap(), "--door", file.to_str().unwrap()];
+    let proxy = Proxy(Command::new(PROGRAM).args(args).stderr(Stdio::from(log)).spawn().unwrap());
+    for _ in 0..500 {
+        if tokio::net::TcpStream::connect(listen).await.is_ok() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    (proxy, listen, mgmt)
+}
+
 #[test]
 fn a_heavy_client_leaves_the_others_their_pace_and_is_told_honestly_when_to_come_back() {
     run(async {
         let fleet = SlowFleet::start(72, 4, 8, 20).await;
-        let dir = folder("door-loopback");
-        let port = |ip: &str| TcpListener::bind(format!("{ip}:0")).unwrap().local_addr().unwrap();
-        let (listen, mgmt) = (port("127.0.72.10"), port("127.0.72.10"));
-        let mut text =
-            std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json")).unwrap();
-        for (k, at) in (7101..=7104).enumerate() {
-            text = text.replace(&format!("127.0.0.1:{at}"), &fleet.addresses[k].to_string());
-        }
-        let text = text.replace(
-            "\"listen\": \"127.0.0.1:5050\",",
-            &format!("\"listen\": \"{listen}\",\n  \"mgmt\": \"{mgmt}\","),
-        );
-        std::fs::write(dir.join("config.json"), text).unwrap();
-        let door = r#"{"limit":{"first":8,"least":8,"most":8},"per_client_most":16,"come_back_least_ms":100,"come_back_most_ms":3000}"#;
-        std::fs::write(dir.join("door.json"), door).unwrap();
-        let log = std::fs::File::create(dir.join("proxy.log")).unwrap();
-        let config = dir.join("config.json");
-        let file = dir.join("door.json");
-        let args = ["serve", "--config", config.to_str().unwrap(), "--door", file.to_str().unwrap()];
-        let _proxy = Proxy(Command::new(PROGRAM).args(args).stderr(Stdio::from(log)).spawn().unwrap());
-        for _ in 0..500 {
-            if tokio::net::TcpStream::connect(listen).await.is_ok() {
-                break;
-            }
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
+        let door = r#"{"limit":{"first":8,"least":8,"most":8},"reserve_share":0.375,"per_client_most":16,
+            "come_back_least_ms":100,"come_back_most_ms":3000}"#;
+        let (_proxy, listen, mgmt) = proxy(&fleet, 72, "door-loopback", door).await;
         let ids = Ids::default();
         let next = || ids.next();
         // The others: ten clients, each a request every 100 ms.
@@ -237,3 +257,58 @@
         assert!(left > 0, "{figures}");
     });
 }
+
+#[test]
+fn a_weight_changed_by_sighup_holds_within_a_second_and_nothing_waiting_is_lost() {
+    run(async {
+        let fleet = SlowFleet::start(76, 4, 8, 20).await;
+        let file = |w: f64| {
+            format!(
+                r#"{{"limit":{{"first":8,"least":8,"most":8}},"reserve_share":0,"tenants":[{{"groups":[1],"weight":{w}}}]}}"#
+            )
+        };
+        let (proxy, listen, _) = proxy(&fleet, 76, "door-reweigh", &file(1.0)).await;
+        let ids = Ids::default();
+        // Two tenants, ten clients each, every client with one request out at all times.
+        let got: Rc<RefCell<Vec<Heard>>> = Rc::default();
+        let end = Instant::now() + Duration::from_secs(4);
+        let loops: Vec<_> = (0..20u8)
+            .map(|k| {
+                let (got, ids) = (got.clone(), ids.clone());
+                spawn_local(async move {
+                    let group = 1 + u32::from(k % 2);
+                    let from: IpAddr = format!("127.0.77.{}", 10 + k).parse().unwrap();
+                    while Instant::now() < end {
+                        let answer = ask_of(listen, from, ids.next(), group, false, false).await;
+                        got.borrow_mut().push((Instant::now(), group, answer.map(|g| g.status)));
+                    }
+                })
+            })
+            .collect();
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        std::fs::write(folder("door-reweigh").join("door.json"), file(3.0)).unwrap();
+        assert!(Command::new("kill").args(["-HUP", &proxy.0.id().to_string()]).status().unwrap().success());
+        let reweighed = Instant::now();
+        for task in loops {
+            task.await.unwrap();
+        }
+        let got = got.borrow();
+        let share = |from: Instant, to: Instant| {
+            let served = |group| {
+                got.iter()
+                    .filter(|(at, g, s)| *at >= from && *at < to && *g == group && *s == Some(200))
+                    .count()
+            };
+            (served(1), served(2))
+        };
+        let before = share(reweighed - Duration::from_millis(1_000), reweighed);
+        let after = share(reweighed + Duration::from_millis(200), reweighed + Duration::from_millis(1_200));
+        println!("served before {before:?}, after {after:?}");
+        let ratio = |(a, b): (usize, usize)| a as f64 / b.max(1) as f64;
+        assert!((0.7..1.4).contains(&ratio(before)), "even shares before: {before:?}");
+        assert!(ratio(after) > 2.2, "three to one within a second: {after:?}");
+        assert!(got.iter().all(|(_, _, status)| status.is_some()), "every request had its answer");
+        let log = std::fs::read_to_string(folder("door-reweigh").join("proxy.log")).unwrap();
+        assert!(log.contains("the door's file read again"), "{log}");
+    });
+}
