--- /dev/null
+++ b/examples/registry_drains.rs
@@ -0,0 +1,244 @@
+//! The registry client measured on loopback. First, one proxy process and a stand-in registry that breaks at
+//! random (connections cut, history compacted, silence of up to two seconds): drain after drain, the time from
+//! its writing to the proxy hearing it, and whether its box was asked 250 ms after that. Then a hundred
+//! simulated proxies (the same client, each with an engine of its own, in this process) against one registry
+//! for twenty seconds: what each asks of it.
+//!
+//!     cargo build --release && cargo run --release --example registry_drains -- [DRAINS]
+
+#[path = "../tests/stand_ins/registry.rs"]
+mod registry;
+#[path = "../tests/stand_ins/slow_box.rs"]
+mod slow_box;
+
+use calicobeam::clock::Clock;
+use calicobeam::engine::host::Host;
+use calicobeam::lifecycle::config::Config;
+use calicobeam::registry::config::RegistryConfig;
+use calicobeam::registry::driver::{keep, Link};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use registry::Registry;
+use simd_json::prelude::*;
+use slow_box::{unix_ms, SlowFleet};
+use std::cell::RefCell;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+const PREFIX: &str = "/calicobeam/members/";
+const MEMBERS: [(&str, &str, &str); 4] = [
+    ("s-000000c1", "town", "box"),
+    ("s-000000c2", "town", "box"),
+    ("s-000000a0", "hub", "parent"),
+    ("s-000000b0", "hub", "origin"),
+];
+
+fn line(k: usize, at: SocketAddr, state: &str) -> String {
+    let (uid, az, model) = MEMBERS[k];
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{at}","az":"{az}","model":"{model}","pod_group":0,"state":"{state}","capacity_hint":4,"boot_ms":0}}"#
+    )
+}
+
+fn percentile(sorted: &[f64], share: f64) -> f64 {
+    sorted.get(((sorted.len().max(1) - 1) as f64 * share).round() as usize).copied().unwrap_or(0.0)
+}
+
+struct Running(std::process::Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn main() {
+    let drains: usize = std::env::args().nth(1).and_then(|s| s.parse().ok()).unwrap_or(60);
+    let program =
+        PathBuf::from(std::env::var("CALICOBEAM").unwrap_or_else(|_| "target/release/calicobeam".into()));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        one_proxy(program, drains).await;
+        many_proxies(100, 20).await;
+    });
+}
+
+fn files(
+    dir: &std::path::Path,
+    registry: SocketAddr,
+    listen: &str,
+    mgmt: Option<&str>,
+) -> (PathBuf, PathBuf) {
+    let mut text =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json")).unwrap();
+    let mgmt = mgmt.map(|m| format!("\n  \"mgmt\": \"{m}\",")).unwrap_or_default();
+    text = text.replace("\"listen\": \"127.0.0.1:5050\",", &format!("\"listen\": \"{listen}\",{mgmt}"));
+    std::fs::write(dir.join("config.json"), text).unwrap();
+    let file = format!(
+        r#"{{"address":"{registry}","prefix":"{PREFIX}","timeout_ms":1000,"stall_ms":1500,
+            "backoff":{{"first_ms":50,"factor":2,"most_ms":1000,"jitter":0.2}}}}"#
+    );
+    std::fs::write(dir.join("registry.json"), file).unwrap();
+    (dir.join("config.json"), dir.join("registry.json"))
+}
+
+async fn state(mgmt: SocketAddr) -> Option<simd_json::OwnedValue> {
+    let answer =
+        calicobeam::purge::wire::call(mgmt, "GET", "/registry", b"", Duration::from_secs(1)).await.ok()?;
+    let mut body = answer.body;
+    simd_json::to_owned_value(&mut body).ok()
+}
+
+async fn one_proxy(program: PathBuf, drains: usize) {
+    let dir = std::env::temp_dir().join(format!("calicobeam-registry-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let fleet = SlowFleet::start(82, 4, 64, 2).await;
+    let registry = Registry::start("127.0.82.100").await;
+    for (k, at) in fleet.addresses.iter().enumerate() {
+        registry.put(&format!("{PREFIX}{}", MEMBERS[k].0), &line(k, *at, "Ready"));
+    }
+    let port = || TcpListener::bind("127.0.82.10:0").unwrap().local_addr().unwrap();
+    let (listen, mgmt) = (port(), port());
+    let (config, file) = files(&dir, registry.address, &listen.to_string(), Some(&mgmt.to_string()));
+    let mut command = Command::new(&program);
+    command.args(["serve", "--config", config.to_str().unwrap(), "--registry", file.to_str().unwrap()]);
+    let _proxy = Running(
+        command.env("CALICOBEAM_LOG", "warn").stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap(),
+    );
+    while state(mgmt).await.and_then(|s| s["revision"].as_i64()).unwrap_or(0) < 4 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    for k in 0..4u64 {
+        tokio::task::spawn_local(async move {
+            let mut id = k << 40;
+            loop {
+                id += 1;
+                let request = format!(
+                    "GET /ops/small-object/{:016x} HTTP/1.1\r\nHost: t\r\nX-Call-Id: {id:016x}\r\nX-Patience-Ms: 1000\r\nConnection: close\r\n\r\n",
+                    id % 97
+                );
+                if let Ok(mut stream) = tokio::net::TcpStream::connect(listen).await {
+                    let mut answer = Vec::new();
+                    let _ = stream.write_all(request.as_bytes()).await;
+                    let _ = stream.read_to_end(&mut answer).await;
+                }
+                tokio::time::sleep(Duration::from_millis(4)).await;
+            }
+        });
+    }
+    let mut rng = SmallRng::seed_from_u64(5);
+    let (mut delays, mut asked_after, mut breaks) = (Vec::new(), 0usize, [0u32; 3]);
+    for n in 0..drains {
+        let k = n % 2;
+        let mut compacts = false;
+        match rng.random_range(0..20) {
+            0..=4 => {
+                registry.drop_all();
+                breaks[0] += 1;
+            }
+            5..=7 => {
+                registry.fall_silent(Duration::from_millis(300));
+                compacts = true;
+                breaks[1] += 1;
+            }
+            8..=9 => {
+                registry.fall_silent(Duration::from_millis(rng.random_range(500..2_000)));
+                breaks[2] += 1;
+            }
+            _ => {}
+        }
+        let written = unix_ms();
+        let rev =
+            registry.put(&format!("{PREFIX}{}", MEMBERS[k].0), &line(k, fleet.addresses[k], "Terminating"));
+        if compacts {
+            // The drain is written and compacted away while the proxy is cut off: only a full read can find it.
+            registry.compact();
+        }
+        let heard = loop {
+            let s = state(mgmt).await;
+            if s.as_ref().and_then(|s| s["revision"].as_i64()).unwrap_or(0) >= rev {
+                break s.and_then(|s| s["heard_ms"].as_f64()).unwrap_or(0.0);
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        };
+        delays.push(heard - written);
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        asked_after +=
+            fleet.arrivals.borrow().iter().filter(|(b, at)| *b == k && *at > heard + 250.0).count();
+        registry.put(&format!("{PREFIX}{}", MEMBERS[k].0), &line(k, fleet.addresses[k], "Ready"));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    delays.sort_by(f64::total_cmp);
+    let s = state(mgmt).await.unwrap();
+    println!("| drains | cut / compacted / silent before | written to heard p50 ms | p99 ms | max ms | asked 250 ms after hearing | full reads (resyncs) |");
+    println!("| ---: | --- | ---: | ---: | ---: | ---: | ---: |");
+    println!(
+        "| {drains} | {} / {} / {} | {:.1} | {:.1} | {:.1} | {asked_after} | {} ({}) |",
+        breaks[0],
+        breaks[1],
+        breaks[2],
+        percentile(&delays, 0.5),
+        percentile(&delays, 0.99),
+        delays.last().copied().unwrap_or(0.0),
+        s["view"]["reads"].as_u64().unwrap_or(0),
+        s["view"]["resyncs"].as_u64().unwrap_or(0),
+    );
+    let _ = std::fs::remove_dir_all(&dir);
+}
+
+async fn many_proxies(proxies: usize, seconds: u64) {
+    let dir = std::env::temp_dir().join(format!("calicobeam-registry-many-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let registry = Registry::start("127.0.83.100").await;
+    for (k, member) in MEMBERS.iter().enumerate() {
+        let at: SocketAddr = format!("127.0.83.{}:7000", k + 1).parse().unwrap();
+        registry.put(&format!("{PREFIX}{}", member.0), &line(k, at, "Ready"));
+    }
+    let (config, file) = files(&dir, registry.address, "127.0.83.10:1", None);
+    let (config, file) = (Config::read(&config).unwrap(), RegistryConfig::read(&file).unwrap());
+    let mut links = Vec::new();
+    for n in 0..proxies {
+        let clock = Clock::system();
+        let (engine, _) = calicobeam::lifecycle::serve::engine(&config, &clock, 0).unwrap();
+        let host = Host::new(clock, engine);
+        host.with(|engine| engine.take_roster_from_registry());
+        let link = Rc::new(RefCell::new(Link::default()));
+        links.push(link.clone());
+        tokio::task::spawn_local(keep(host, file.clone(), link, n as u64));
+    }
+    let start = std::time::Instant::now();
+    let (ranges, watches) = (registry.store.ranges.get(), registry.store.watches.get());
+    let mut rng = SmallRng::seed_from_u64(9);
+    let mut changes = 0;
+    while start.elapsed() < Duration::from_secs(seconds) {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let k = rng.random_range(0..2);
+        let at: SocketAddr = format!("127.0.83.{}:7000", k + 1).parse().unwrap();
+        let state = if rng.random_range(0..2) == 0 { "Terminating" } else { "Ready" };
+        registry.put(&format!("{PREFIX}{}", MEMBERS[k].0), &line(k, at, state));
+        changes += 1;
+        if rng.random_range(0..4) == 0 {
+            registry.drop_all();
+        }
+        if rng.random_range(0..10) == 0 {
+            registry.compact();
+        }
+    }
+    let wall = start.elapsed().as_secs_f64();
+    let ranges = registry.store.ranges.get() - ranges;
+    let watches = registry.store.watches.get() - watches;
+    let behind = links.iter().filter(|l| l.borrow().revision < registry.store.revision.get() - 1).count();
+    println!();
+    println!("| simulated proxies | seconds | changes | cuts and compactions | ranges | watches made | calls a second per proxy | behind at the end |");
+    println!("| ---: | ---: | ---: | --- | ---: | ---: | ---: | ---: |");
+    println!(
+        "| {proxies} | {wall:.0} | {changes} | random | {ranges} | {watches} | {:.3} | {behind} |",
+        (ranges + watches) as f64 / proxies as f64 / wall
+    );
+    let _ = std::fs::remove_dir_all(&dir);
+}
--- a/src/registry/wire.rs
+++ b/src/registry/wire.rs
@@ -31,6 +31,9 @@
     /// No connection, or it broke.
     #[error("registry {0}: {1}")]
     Socket(SocketAddr, std::io::Error),
+    /// A watch told nothing for too long, or the registry ended it.
+    #[error("registry {0}: {1}")]
+    Broken(SocketAddr, &'static str),
     /// Nothing came in time.
     #[error("registry {0}: no answer in time")]
     Timeout(SocketAddr),
@@ -109,8 +112,8 @@
 /// What a watch tells.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Told {
-    /// The watch stands, from the revision asked for.
-    Created,
+    /// The watch stands, from the revision asked for; the registry itself stands at this one.
+    Created(i64),
     /// Changes, up to the revision.
     Changes(i64, Vec<Change>),
     /// Nothing changed up to the revision: the link works.
@@ -343,7 +346,7 @@
         });
     }
     if result.created {
-        return Ok(Told::Created);
+        return Ok(Told::Created(result.header.revision));
     }
     if result.events.is_empty() {
         return Ok(Told::Progress(result.header.revision));
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -221,3 +221,37 @@
         assert!(reached_after(&fleet, 0, unix_ms() - 250.0) > 0, "back in service once the registry mends");
     });
 }
+
+/// A registry restored from an older copy tells of revisions below the proxy's: a watch there would wait for ever.
+#[test]
+fn a_registry_that_begins_anew_is_read_whole() {
+    run(async {
+        let fleet = SlowFleet::start(84, 4, 64, 2).await;
+        let registry = Registry::start("127.0.84.100").await;
+        let key = |k: usize| format!("{PREFIX}{}", MEMBERS[k].0);
+        for _ in 0..20 {
+            for (k, at) in fleet.addresses.iter().enumerate() {
+                registry.put(&key(k), &line(k, *at, "Ready"));
+            }
+        }
+        let proxy = start(84, "registry-anew", &registry).await;
+        heard(proxy.mgmt, 80, 10).await;
+        load(proxy.listen, Rc::new(Cell::new(0)));
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert!(reached_after(&fleet, 0, 0.0) > 0, "the cache is asked");
+        let state = |k| if k == 0 { "Terminating" } else { "Ready" };
+        let kvs: Vec<_> = (0..4).map(|k| (key(k), line(k, fleet.addresses[k], state(k)))).collect();
+        let rev = registry.restore(&kvs);
+        let end = unix_ms() + 5_000.0;
+        while link(proxy.mgmt).await.is_none_or(|s| s["revision"].as_i64() != Some(rev)) {
+            assert!(unix_ms() < end, "the new history was not read");
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        let told = link(proxy.mgmt).await.unwrap();
+        assert_eq!(told["view"]["resets"].as_u64(), Some(1), "{told:?}");
+        let at = told["heard_ms"].as_f64().unwrap();
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        assert_eq!(reached_after(&fleet, 0, at + 250.0), 0, "the drain of the new history holds");
+        assert!(reached_after(&fleet, 1, at + 250.0) > 0, "the other one serves");
+    });
+}
--- a/tests/stand_ins/registry.rs
+++ b/tests/stand_ins/registry.rs
@@ -93,6 +93,20 @@
         s.history.borrow_mut().retain(|e| e.rev > at);
     }
 
+    /// Loses its history and begins anew from a copy that stood at revision 0, with these keys.
+    pub fn restore(&self, kvs: &[(String, String)]) -> i64 {
+        let s = &self.store;
+        s.revision.set(0);
+        s.compacted.set(0);
+        s.kv.borrow_mut().clear();
+        s.history.borrow_mut().clear();
+        for (key, value) in kvs {
+            self.put(key, value);
+        }
+        self.drop_all();
+        s.revision.get()
+    }
+
     /// Cuts every connection.
     pub fn drop_all(&self) {
         self.store.generation.set(self.store.generation.get() + 1);
