--- a/src/engine/host.rs
+++ b/src/engine/host.rs
@@ -4,6 +4,7 @@
 use crate::admission::fair::Verdict;
 use crate::admission::gate::Gate;
 use crate::clock::{span, Clock};
+use crate::grpc::calls::Backend;
 use crate::memory::connections::ConnId;
 use crate::memory::requests::{Ask, Final, NotTaken};
 use crate::settings::Env;
@@ -12,6 +13,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 
@@ -25,8 +27,12 @@
     due: Notify,
     /// The door's fair queues, where they are on.
     gate: RefCell<Option<Gate>>,
+    figures: RefCell<Vec<Figures>>,
 }
 
+/// A subsystem's figures, in the Prometheus text format.
+pub type Figures = Box<dyn Fn() -> String>;
+
 impl Host {
     /// A host for an engine. It runs on a `LocalSet`.
     pub fn new(clock: Clock, engine: Engine) -> Rc<Self> {
@@ -37,6 +43,7 @@
             waiting: RefCell::default(),
             due: Notify::new(),
             gate: RefCell::default(),
+            figures: RefCell::default(),
         })
     }
 
@@ -45,6 +52,11 @@
         *self.gate.borrow_mut() = Some(gate);
     }
 
+    /// Adds a subsystem's figures to those that the platform reads.
+    pub fn add_figures(&self, figures: Figures) {
+        self.figures.borrow_mut().push(figures);
+    }
+
     /// Lets the door's queues do something, where they are on.
     pub fn with_gate<R>(&self, act: impl FnOnce(&mut Gate) -> R) -> Option<R> {
         self.gate.borrow_mut().as_mut().map(act)
@@ -53,7 +65,8 @@
     /// The figures that the platform reads, with the door's where it is on.
     pub fn figures(self: &Rc<Self>) -> String {
         let engine = self.with(|engine| engine.figures());
-        engine + &self.with_gate(Gate::figures).unwrap_or_default()
+        let more: String = self.figures.borrow().iter().map(|figures| figures()).collect();
+        engine + &self.with_gate(Gate::figures).unwrap_or_default() + &more
     }
 
     /// Lets the engine do something, and carries out what it wants.
@@ -68,6 +81,27 @@
         self.engine.borrow().env()
     }
 
+    /// How often the list of members has changed.
+    pub fn roster_changes(&self) -> u64 {
+        self.engine.borrow().roster_changes()
+    }
+
+    /// The listed members of a kind as backends, at their own addresses with `port`, by id.
+    pub fn backends(&self, model: &str, port: u16) -> Vec<Backend> {
+        let engine = self.engine.borrow();
+        let mut all: Vec<Backend> = engine
+            .of_kind(model)
+            .map(|(id, at, live)| Backend {
+                id,
+                address: SocketAddr::new((*at.ip()).into(), port),
+                live,
+                weight: 1.0,
+            })
+            .collect();
+        all.sort_by_key(|b| b.id);
+        all
+    }
+
     fn carry_out(self: &Rc<Self>) {
         loop {
             let effect = self.engine.borrow_mut().take_effect();
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -99,6 +99,8 @@
     purge: Option<Guard>,
     /// The list of members comes from a registry: the bulletin's lists are not taken.
     registry: bool,
+    /// How often the list of members has changed.
+    roster_changes: u64,
 }
 
 impl Engine {
@@ -124,6 +126,7 @@
             last_no: 0,
             purge: None,
             registry: false,
+            roster_changes: 0,
         }
     }
 
@@ -163,6 +166,20 @@
         targets
     }
 
+    /// How often the list of members has changed.
+    pub fn roster_changes(&self) -> u64 {
+        self.roster_changes
+    }
+
+    /// The listed members of a kind: id, address, and whether they take new work.
+    pub fn of_kind<'e>(
+        &'e self,
+        model: &'e str,
+    ) -> impl Iterator<Item = (MemberId, SocketAddrV4, bool)> + 'e {
+        let listed = self.roster.all_listed().filter(move |t| t.row.model == model);
+        listed.map(|t| (t.row.cache, t.address, self.roster.address(t.row.cache).is_some()))
+    }
+
     /// What is to be done on sockets, in order.
     pub fn take_effect(&mut self) -> Option<Effect> {
         self.effects.pop_front()
@@ -231,6 +248,7 @@
         // The codec makes only states that the settings type knows.
         let Ok(entries) = entries else { return };
         let gone = self.roster.update(full, &targets);
+        self.roster_changes += 1;
         // The module learns of it first: asked anew before, it would name the same member again.
         self.events.push_back(Event::Members { full, entries });
         self.run();
--- /dev/null
+++ b/src/grpc/calls.rs
@@ -0,0 +1,557 @@
+//! Every call from its head to its one end: which backend its next attempt goes to (the decision module's word),
+//! whether there may be a next one, how long is left, and what the client is told. No I/O.
+//!
+//! Each pool has a [`Router`] of its own, the same module as behind the other fronts: the backends are its caches,
+//! nothing is kept, and a member that stands for what lies behind all of them is the origin, so that what fails
+//! through every backend is blamed on that and empties no pool. A call gets exactly one [`Directive`] that ends it,
+//! unless its client left.
+
+use super::routes::{Affinity, Kind, Route};
+use super::status::{judge, Code, End, Judgement, Pushback, CODES};
+use crate::clock::{micros, millis};
+use crate::interface::{Repeat, Settings};
+use crate::{Action, Event, Life, Listing, MemberId, Note, Role, Router, Verdict};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A call's number; never used again.
+pub type CallId = u64;
+/// The member that stands for what lies behind every backend.
+pub const BEHIND: MemberId = MemberId::MAX;
+/// With less left of a call's time, in milliseconds, it ends for want of it.
+const OVER_MS: f64 = 10.0;
+/// Taken off a client's time, in milliseconds, for the way back ...
+const MARGIN_MS: f64 = 40.0;
+/// ... and the most of it as a share.
+const MARGIN_SHARE: f64 = 0.1;
+/// The come-back time, in milliseconds, where calls are refused for want of room.
+const FULL_WAIT_MS: f64 = 300.0;
+
+/// A backend as a pool's list has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Backend {
+    /// Its id, the same at every proxy.
+    pub id: MemberId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// It takes new calls; one that doesn't finishes what it has.
+    pub live: bool,
+    /// Its size beside the others', where sizes are told.
+    pub weight: f64,
+}
+
+/// What a client asks for.
+#[derive(Clone, Debug)]
+pub struct NewCall {
+    /// What the table says of its method.
+    pub route: Rc<Route>,
+    /// The affinity's hash; none for a call by itself.
+    pub object: Option<u64>,
+    /// `grpc-timeout`, in milliseconds.
+    pub timeout_ms: Option<f64>,
+}
+
+/// What a call's driver does next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Directive {
+    /// Make this attempt.
+    Start(Start),
+    /// Pass the last attempt's own end on: its status and trailers as they came.
+    Pass {
+        /// What it counts as.
+        outcome: Outcome,
+        /// A come-back time to add where the backend gave none, in milliseconds.
+        come_back_ms: Option<f64>,
+    },
+    /// End the call with a status of the proxy's own.
+    Answer(Answer),
+}
+
+/// An attempt to be made.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Start {
+    /// Its number within the call, from 0.
+    pub attempt: u32,
+    /// The backend.
+    pub member: MemberId,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// A status of the proxy's own.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// The status.
+    pub code: Code,
+    /// In words, for people.
+    pub message: &'static str,
+    /// What it says of trying again.
+    pub pushback: Option<Pushback>,
+    /// What it counts as.
+    pub outcome: Outcome,
+}
+
+/// What a call's end counts as.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// Status OK, whole.
+    Served,
+    /// Trying again does no harm.
+    Refused,
+    /// Nothing is promised.
+    Failed,
+    /// The client left.
+    Left,
+}
+
+/// The bounds of what is held.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Calls at once.
+    pub calls: usize,
+    /// Bytes kept for a further attempt, of all calls together.
+    pub replay_total: usize,
+}
+
+/// What a pool is.
+#[derive(Clone, Debug)]
+pub struct PoolSpec {
+    /// Its name.
+    pub name: String,
+    /// The module's settings for it: one class a route.
+    pub settings: Settings,
+}
+
+/// Figures of a pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PoolFigures {
+    /// Calls by outcome: served, refused, failed, left.
+    pub outcomes: [u64; 4],
+    /// Calls by the status that their client got.
+    pub codes: [u64; CODES],
+    /// Attempts made.
+    pub attempts: u64,
+    /// Of them second and further ones.
+    pub retries: u64,
+    /// Attempts not sent after all, since their backend drained or time was over while they waited.
+    pub stale: u64,
+    /// Calls that failed by a status in their trailers after their response had begun.
+    pub failed_after_data: u64,
+    /// Calls whose deadline was the proxy's own, shorter than their client's.
+    pub shortened: u64,
+}
+
+struct Pool {
+    name: String,
+    router: Router,
+    settings: Settings,
+    backends: BTreeMap<MemberId, Backend>,
+    figures: PoolFigures,
+}
+
+struct Out {
+    number: u32,
+    member: MemberId,
+    sent_ms: f64,
+    /// When this attempt is given up, for unary calls.
+    due_ms: f64,
+    committed_ms: Option<f64>,
+}
+
+struct Call {
+    route: Rc<Route>,
+    give_up_ms: f64,
+    out: Option<Out>,
+    attempts: u32,
+    replayable: bool,
+    kept: usize,
+    last: Option<End>,
+}
+
+/// The calls of a process. See the module's page.
+pub struct Calls {
+    pools: Vec<Pool>,
+    calls: HashMap<CallId, Call>,
+    next: CallId,
+    bounds: Bounds,
+    kept: usize,
+    seed: u64,
+    actions: Vec<Action>,
+}
+
+/// What the module wants of one call.
+enum Wish {
+    Send { to: MemberId, timeout_ms: f64 },
+    Refuse { wait_ms: f64 },
+    Fail,
+}
+
+impl Calls {
+    /// No calls yet, and no backends.
+    pub fn new(pools: Vec<PoolSpec>, bounds: Bounds, seed: u64) -> Self {
+        let mut calls = Self {
+            pools: Vec::new(),
+            calls: HashMap::new(),
+            next: 0,
+            bounds,
+            kept: 0,
+            seed,
+            actions: Vec::new(),
+        };
+        calls.retune(pools);
+        calls
+    }
+
+    /// Takes other pools and classes, by name; calls under way go on. Pools that are gone stay for those.
+    pub fn retune(&mut self, pools: Vec<PoolSpec>) {
+        for spec in pools {
+            match self.pools.iter_mut().find(|p| p.name == spec.name) {
+                Some(pool) => {
+                    pool.router.retune(spec.settings.clone());
+                    pool.settings = spec.settings;
+                }
+                None => {
+                    let router = Router::new(spec.settings.clone(), self.seed ^ self.pools.len() as u64);
+                    let (backends, figures) = Default::default();
+                    let PoolSpec { name, settings } = spec;
+                    self.pools.push(Pool { name, router, settings, backends, figures });
+                }
+            }
+        }
+    }
+
+    /// Place of a pool by its name.
+    pub fn pool(&self, name: &str) -> Option<usize> {
+        self.pools.iter().position(|p| p.name == name)
+    }
+
+    /// Takes a pool's list of backends, whole. From now on nothing new goes to one that is not live or not listed.
+    pub fn list(&mut self, now: f64, pool: usize, backends: &[Backend]) {
+        let Some(pool) = self.pools.get_mut(pool) else { return };
+        pool.backends = backends.iter().map(|b| (b.id, b.clone())).collect();
+        let line = |id, role, life, weight| Listing { id, role, life, started: 0, weight, zone: 0, cell: 0 };
+        let life = |live| if live { Life::Live } else { Life::Draining };
+        let mut entries: Vec<Listing> =
+            pool.backends.values().map(|b| line(b.id, Role::Cache, life(b.live), b.weight)).collect();
+        entries.push(line(BEHIND, Role::Origin, Life::Live, 1.0));
+        let event = Event::Members { full: true, entries };
+        pool.router.handle(micros(now), &event, &mut self.actions);
+        self.actions.clear();
+    }
+
+    /// Whether a backend of a pool takes new calls.
+    pub fn takes(&self, pool: usize, member: MemberId) -> bool {
+        self.pools.get(pool).and_then(|p| p.backends.get(&member)).is_some_and(|b| b.live)
+    }
+
+    /// Takes a call in. From now on it gets exactly one directive that ends it, unless its client leaves.
+    pub fn begin(&mut self, now: f64, new: NewCall) -> (CallId, Directive) {
+        self.next += 1;
+        let (id, route) = (self.next, new.route);
+        let figures = &mut self.pools[route.pool].figures;
+        let own = |ms: f64| ms - MARGIN_MS.min(MARGIN_SHARE * ms);
+        let client = new.timeout_ms.unwrap_or(f64::INFINITY);
+        let most = route.deadline_ms.unwrap_or(f64::INFINITY);
+        figures.shortened += u64::from(most < client && client.is_finite());
+        // Neither is ever stretched: the shorter of the two holds, over all attempts together.
+        let allowed = if client <= most { own(client) } else { most };
+        if self.calls.len() >= self.bounds.calls {
+            let answer = Answer {
+                code: Code::UNAVAILABLE,
+                message: "too many calls are open",
+                pushback: Some(Pushback::After(FULL_WAIT_MS)),
+                outcome: Outcome::Refused,
+            };
+            Self::count(figures, Outcome::Refused, answer.code);
+            return (id, Directive::Answer(answer));
+        }
+        let give_up_ms = now + allowed;
+        let object = new.object.unwrap_or_else(|| {
+            // Spreads calls by themselves evenly: the module's hash takes it from there.
+            self.seed.wrapping_add(id).wrapping_mul(0x9E37_79B9_7F4A_7C15)
+        });
+        let (pool, class) = (route.pool, route.class);
+        let (out, attempts, replayable, kept, last) = (None, 0, true, 0, None);
+        self.calls.insert(id, Call { route, give_up_ms, out, attempts, replayable, kept, last });
+        let give_up_at = micros(give_up_ms);
+        let event = Event::Request { id, class, object, group: 0, part: 0, size_kb: 0.0, give_up_at };
+        let wish = self.tell(now, pool, id, &event);
+        (id, self.follow(now, id, wish))
+    }
+
+    /// What is left of an attempt's time, in milliseconds, just before its first byte: none where it must not be
+    /// sent any more, since its backend drains or is gone, or time is over.
+    pub fn may_start(&mut self, now: f64, id: CallId) -> Option<f64> {
+        let call = self.calls.get(&id)?;
+        let out = call.out.as_ref()?;
+        let left = out.due_ms.min(call.give_up_ms) - now;
+        (left >= 1.0 && self.takes(call.route.pool, out.member)).then_some(left)
+    }
+
+    /// When the attempt under way is given up: for a unary call its own time-out until its response begins, else
+    /// the call's.
+    pub fn due_ms(&self, id: CallId) -> f64 {
+        let Some(call) = self.calls.get(&id) else { return f64::NEG_INFINITY };
+        let own = call.out.as_ref().filter(|o| o.committed_ms.is_none()).map_or(f64::INFINITY, |o| o.due_ms);
+        own.min(call.give_up_ms)
+    }
+
+    /// When the call's time is over.
+    pub fn give_up_ms(&self, id: CallId) -> f64 {
+        self.calls.get(&id).map_or(f64::NEG_INFINITY, |call| call.give_up_ms)
+    }
+
+    /// The response's headers go to the client: the attempt is the call's last.
+    pub fn committed(&mut self, now: f64, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let pool = call.route.pool;
+        let Some(out) = &mut call.out else { return };
+        out.committed_ms = Some(now);
+        let event = Event::Streaming { id, attempt: out.number };
+        self.release(id);
+        self.tell(now, pool, id, &event);
+    }
+
+    /// Asks to keep this many bytes more of the call's request for a further attempt. Where they don't fit, what
+    /// was kept is to be dropped, and only attempts that never began may be followed by another.
+    pub fn keep(&mut self, id: CallId, bytes: usize, most: usize) -> bool {
+        let Some(call) = self.calls.get_mut(&id).filter(|c| c.replayable) else { return false };
+        if call.kept + bytes > most || self.kept + bytes > self.bounds.replay_total {
+            call.replayable = false;
+            self.release(id);
+            return false;
+        }
+        call.kept += bytes;
+        self.kept += bytes;
+        true
+    }
+
+    fn release(&mut self, id: CallId) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            self.kept -= std::mem::take(&mut call.kept);
+        }
+    }
+
+    /// An attempt ended. What comes back is the next thing to do; a directive other than a start ends the call.
+    pub fn ended(&mut self, now: f64, id: CallId, end: End) -> Directive {
+        let Some(call) = self.calls.get_mut(&id) else { return Self::forgotten() };
+        let Some(out) = call.out.take() else { return Self::forgotten() };
+        let (route, replayable) = (call.route.clone(), call.replayable);
+        let left = call.give_up_ms - now;
+        call.last = Some(end);
+        let committed = out.committed_ms.is_some();
+        let judged = judge(end, committed, route.repeat, &route.retry);
+        // A call of any length is judged by how soon its response began.
+        let until = match (route.kind, out.committed_ms) {
+            (Kind::Stream, Some(began)) => began,
+            _ => now,
+        };
+        // The client's own end of time says nothing of the backend, unless the attempt had its usual wait.
+        let over = end == End::TimedOut && left < OVER_MS;
+        let again = judged.again && replayable && left >= OVER_MS;
+        let verdict = if over && route.kind == Kind::Stream { Verdict::Cancelled } else { judged.verdict };
+        let event = Event::Outcome {
+            id,
+            attempt: out.number,
+            verdict,
+            note: Note::Silent,
+            took: micros(until - out.sent_ms),
+            closed: !again,
+        };
+        self.pools[route.pool].figures.stale += u64::from(end == End::Stale);
+        let wish = self.tell(now, route.pool, id, &event);
+        if again {
+            return self.follow(now, id, wish);
+        }
+        self.conclude(id, committed, judged, left)
+    }
+
+    /// The client left, or its end of the call broke: nothing is owed.
+    pub fn left(&mut self, now: f64, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let (out, pool) = (call.out.take(), call.route.pool);
+        self.tell(now, pool, id, &Event::Left { id });
+        if let Some(out) = out {
+            let (took, verdict) = (micros(now - out.sent_ms), Verdict::Cancelled);
+            let event =
+                Event::Outcome { id, attempt: out.number, verdict, note: Note::Silent, took, closed: true };
+            self.tell(now, pool, id, &event);
+        }
+        self.forget(id);
+        Self::count(&mut self.pools[pool].figures, Outcome::Left, Code::CANCELLED);
+    }
+
+    /// The call can't go on for its own or the proxy's sake: it ends with this status.
+    pub fn abort(&mut self, now: f64, id: CallId, answer: Answer) -> Directive {
+        let Some(call) = self.calls.get_mut(&id) else { return Self::forgotten() };
+        let pool = call.route.pool;
+        if let Some(out) = call.out.take() {
+            let (took, verdict) = (micros(now - out.sent_ms), Verdict::Cancelled);
+            let event =
+                Event::Outcome { id, attempt: out.number, verdict, note: Note::Silent, took, closed: true };
+            self.tell(now, pool, id, &event);
+        } else {
+            self.tell(now, pool, id, &Event::Left { id });
+        }
+        self.forget(id);
+        Self::count(&mut self.pools[pool].figures, answer.outcome, answer.code);
+        Directive::Answer(answer)
+    }
+
+    /// Calls under way.
+    pub fn open(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Bytes kept for further attempts.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept
+    }
+
+    /// The pools' names and figures.
+    pub fn figures(&self) -> impl Iterator<Item = (&str, &PoolFigures, usize)> {
+        self.pools
+            .iter()
+            .map(|p| (p.name.as_str(), &p.figures, p.backends.values().filter(|b| b.live).count()))
+    }
+
+    /// How many backends of a pool get nothing new though they are live, by the module's evidence.
+    pub fn avoided(&self, now: f64, pool: usize) -> usize {
+        self.pools.get(pool).map_or(0, |p| p.router.avoided(micros(now)))
+    }
+
+    fn forget(&mut self, id: CallId) {
+        self.release(id);
+        self.calls.remove(&id);
+    }
+
+    fn count(figures: &mut PoolFigures, outcome: Outcome, code: Code) {
+        figures.outcomes[outcome as usize] += 1;
+        figures.codes[usize::from(code.number())] += 1;
+    }
+
+    /// Hands the module an event and takes what it wants of this call.
+    fn tell(&mut self, now: f64, pool: usize, id: CallId, event: &Event) -> Option<Wish> {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.pools[pool].router.handle(micros(now), event, &mut actions);
+        let mut wish = None;
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { id: of, to, timeout, .. } if of == id => {
+                    wish = Some(Wish::Send { to, timeout_ms: millis(timeout) });
+                }
+                Action::Refuse { id: of, wait } if of == id => {
+                    wish = Some(Wish::Refuse { wait_ms: millis(wait) })
+                }
+                Action::Fail { id: of } if of == id => wish = Some(Wish::Fail),
+                // Attempts are called off by their driver; probes and subscriptions are turned off.
+                _ => {}
+            }
+        }
+        self.actions = actions;
+        wish
+    }
+
+    fn follow(&mut self, now: f64, id: CallId, wish: Option<Wish>) -> Directive {
+        let Some(call) = self.calls.get_mut(&id) else { return Self::forgotten() };
+        let pool = &mut self.pools[call.route.pool];
+        match wish {
+            Some(Wish::Send { to, timeout_ms }) => {
+                let Some(backend) = pool.backends.get(&to) else {
+                    // The module names what its list has; guards a call against being held for ever.
+                    return self.end_by_module(now, id, None);
+                };
+                let due_ms = match call.route.kind {
+                    Kind::Unary => now + timeout_ms,
+                    Kind::Stream => f64::INFINITY,
+                };
+                let attempt = call.attempts;
+                call.attempts += 1;
+                pool.figures.attempts += 1;
+                pool.figures.retries += u64::from(attempt > 0);
+                call.out =
+                    Some(Out { number: attempt, member: to, sent_ms: now, due_ms, committed_ms: None });
+                Directive::Start(Start { attempt, member: to, address: backend.address })
+            }
+            Some(Wish::Refuse { wait_ms }) => self.end_by_module(now, id, Some(wait_ms)),
+            Some(Wish::Fail) | None => self.end_by_module(now, id, None),
+        }
+    }
+
+    /// The module gave the call up: refused with a come-back time, or failed.
+    fn end_by_module(&mut self, now: f64, id: CallId, refused: Option<f64>) -> Directive {
+        let Some(call) = self.calls.get(&id) else { return Self::forgotten() };
+        let (last, pool, left) = (call.last, call.route.pool, call.give_up_ms - now);
+        let outcome = if refused.is_some() { Outcome::Refused } else { Outcome::Failed };
+        self.forget(id);
+        let figures = &mut self.pools[pool].figures;
+        let come_back_ms = refused.filter(|ms| *ms > 0.0);
+        if let Some(End::Status(code, _)) = last {
+            Self::count(figures, outcome, code);
+            return Directive::Pass { outcome, come_back_ms };
+        }
+        let (code, message) = match last {
+            _ if left < OVER_MS => (Code::DEADLINE_EXCEEDED, "the call's time is over"),
+            None => (Code::UNAVAILABLE, "no backend takes the call"),
+            Some(End::TimedOut) => (Code::UNAVAILABLE, "no backend answered in time"),
+            Some(end) => {
+                (judge(end, false, Repeat::Safe, &[]).code, "the call's attempts failed at their backends")
+            }
+        };
+        let pushback = match refused {
+            Some(_) => come_back_ms.map(Pushback::After),
+            None => Some(Pushback::Never),
+        };
+        Self::count(figures, outcome, code);
+        Directive::Answer(Answer { code, message, pushback, outcome })
+    }
+
+    /// An attempt's end is the call's.
+    fn conclude(&mut self, id: CallId, committed: bool, judged: Judgement, left: f64) -> Directive {
+        let Some(call) = self.calls.get(&id) else { return Self::forgotten() };
+        let (last, route) = (call.last, call.route.clone());
+        self.forget(id);
+        let figures = &mut self.pools[route.pool].figures;
+        let harmless = !committed && (route.repeat == Repeat::Safe || judged.verdict.never_ran());
+        let busy = judged.code == Code::UNAVAILABLE || judged.code == Code::RESOURCE_EXHAUSTED;
+        let over = left < OVER_MS && !matches!(last, Some(End::Status(..)));
+        let outcome = match judged.code {
+            Code::OK => Outcome::Served,
+            _ if busy && harmless && !over => Outcome::Refused,
+            _ => Outcome::Failed,
+        };
+        figures.failed_after_data += u64::from(committed && outcome == Outcome::Failed);
+        if let Some(End::Status(code, _)) = last {
+            Self::count(figures, outcome, code);
+            return Directive::Pass { outcome, come_back_ms: None };
+        }
+        let (code, message) = match last {
+            _ if over => (Code::DEADLINE_EXCEEDED, "the call's time is over"),
+            Some(End::Cut) => (judged.code, "the backend's answer was cut"),
+            Some(End::Spoilt) => (judged.code, "the backend's answer can't be read"),
+            Some(End::TimedOut) => (judged.code, "the backend did not answer in time"),
+            Some(End::Http(_)) => (judged.code, "the backend's answer is not gRPC"),
+            Some(End::Reset(_)) => (judged.code, "the backend reset the call"),
+            _ => (judged.code, "the backend was lost"),
+        };
+        let pushback = (outcome == Outcome::Failed && !harmless && !over).then_some(Pushback::Never);
+        Self::count(figures, outcome, code);
+        Directive::Answer(Answer { code, message, pushback, outcome })
+    }
+
+    /// What a driver is told that asks for a call that has ended already: a fault of its own, answered safely.
+    fn forgotten() -> Directive {
+        let (code, message) = (Code::INTERNAL, "the call has ended");
+        Directive::Answer(Answer { code, message, pushback: Some(Pushback::Never), outcome: Outcome::Failed })
+    }
+}
+
+/// The affinity's hash of a call, from its path and the header that counts.
+pub fn object(affinity: &Affinity, path: &str, header: impl Fn(&str) -> Option<Vec<u8>>) -> Option<u64> {
+    match affinity {
+        Affinity::Call => None,
+        Affinity::Method => Some(super::routes::hash(path.as_bytes())),
+        Affinity::Header(name) => header(name).map(|value| super::routes::hash(&value)),
+    }
+}
--- /dev/null
+++ b/src/grpc/relay.rs
@@ -0,0 +1,520 @@
+//! One call's bytes, both ways: the client's request to the attempt's backend, the backend's response and its
+//! trailers back, each with the other side's flow control. What is done next is [`super::calls`]' word.
+
+use super::calls::{object, Answer, CallId, Directive, NewCall, Outcome, Start};
+use super::frames::{BadMessage, Tracker};
+use super::server::GrpcFront;
+use super::status::{message, Code, End, Pushback};
+use super::timeout;
+use super::upstream::NoLink;
+use crate::clock::span;
+use bytes::Bytes;
+use h2::client::ResponseFuture;
+use h2::server::SendResponse;
+use h2::{Reason, RecvStream, SendStream};
+use http::{request, HeaderMap, HeaderName, HeaderValue, Method, Request, Response};
+use std::future::poll_fn;
+use std::rc::Rc;
+
+const STATUS: &str = "grpc-status";
+const PUSHBACK: &str = "grpc-retry-pushback-ms";
+/// Headers of one hop (RFC 9113, section 8.2.2), and those that this proxy words itself.
+const OWN_HOP: [&str; 8] = [
+    "connection",
+    "proxy-connection",
+    "keep-alive",
+    "transfer-encoding",
+    "upgrade",
+    "te",
+    "grpc-timeout",
+    "grpc-previous-rpc-attempts",
+];
+
+/// The client's half that sends.
+struct Up {
+    body: RecvStream,
+    /// The client has sent all.
+    done: bool,
+    /// What is kept for a further attempt.
+    kept: Vec<Bytes>,
+    replayable: bool,
+    tracker: Tracker,
+}
+
+/// The client's half that receives.
+enum Down {
+    /// The response has not begun.
+    Head(SendResponse<Bytes>),
+    /// Its headers went out.
+    Body(SendStream<Bytes>),
+    /// It has ended.
+    Done,
+}
+
+impl Down {
+    /// Waits until the client resets the call or its connection is gone.
+    async fn left(&mut self) {
+        poll_fn(|cx| match self {
+            Self::Head(respond) => respond.poll_reset(cx).map(drop),
+            Self::Body(stream) => stream.poll_reset(cx).map(drop),
+            Self::Done => std::task::Poll::Pending,
+        })
+        .await;
+    }
+
+    /// Begins the response; false where the client is gone.
+    fn commit(&mut self, headers: HeaderMap) -> bool {
+        let Self::Head(respond) = self else { return false };
+        match respond.send_response(response(headers), false) {
+            Ok(stream) => {
+                *self = Self::Body(stream);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Ends the call with these trailers: after its response, or as the whole of it ("trailers-only").
+    fn end(&mut self, trailers: HeaderMap) {
+        match std::mem::replace(self, Self::Done) {
+            Self::Head(mut respond) => {
+                let _ = respond.send_response(response(trailers), true);
+            }
+            Self::Body(mut stream) => {
+                let _ = stream.send_trailers(trailers);
+            }
+            Self::Done => {}
+        }
+    }
+}
+
+fn response(headers: HeaderMap) -> Response<()> {
+    let mut response = Response::new(());
+    *response.headers_mut() = headers;
+    response.headers_mut().entry("content-type").or_insert(HeaderValue::from_static("application/grpc"));
+    response
+}
+
+/// What came of an attempt.
+enum Came {
+    /// It ended; the backend's own last headers, where it sent any.
+    End(End, Option<HeaderMap>),
+    /// The client left.
+    Left,
+    /// The call can't go on, for its client's or the proxy's own sake.
+    Abort(Answer),
+}
+
+fn without_hop(headers: &HeaderMap) -> HeaderMap {
+    let mut all = headers.clone();
+    // What `connection` names is of this hop too.
+    let named: Vec<String> = headers
+        .get_all("connection")
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(',').map(|n| n.trim().to_ascii_lowercase()))
+        .collect();
+    for name in named.iter().map(String::as_str).chain(OWN_HOP) {
+        all.remove(name);
+    }
+    all
+}
+
+fn trailers(answer: &Answer) -> HeaderMap {
+    let mut map = HeaderMap::new();
+    map.insert(STATUS, HeaderValue::from(u16::from(answer.code.number())));
+    if let Ok(text) = HeaderValue::from_str(&message(answer.message)) {
+        map.insert("grpc-message", text);
+    }
+    push_back(&mut map, answer.pushback);
+    map
+}
+
+fn push_back(map: &mut HeaderMap, pushback: Option<Pushback>) {
+    let value = match pushback {
+        None => return,
+        Some(Pushback::Never) => HeaderValue::from_static("-1"),
+        Some(Pushback::After(ms)) => HeaderValue::from(ms.ceil().clamp(0.0, 1e9) as u64),
+    };
+    map.entry(PUSHBACK).or_insert(value);
+}
+
+/// What an HTTP/2 error says of the attempt.
+fn end_of(error: &h2::Error) -> End {
+    if error.is_go_away() && error.is_remote() {
+        // `h2` gives a GOAWAY only to streams above its last-stream-id: those surely did not run.
+        return End::Unprocessed;
+    }
+    match error.reason() {
+        Some(Reason::REFUSED_STREAM) if error.is_remote() => End::Unprocessed,
+        Some(reason) if error.is_reset() && error.is_remote() => End::Reset(reason.into()),
+        Some(_) if !error.is_io() => End::Spoilt,
+        _ => End::Broken,
+    }
+}
+
+/// The status in a response's last headers.
+fn status_of(last: &HeaderMap) -> Option<End> {
+    let code = Code::parse(last.get(STATUS)?.as_bytes())?;
+    Some(End::Status(code, last.get(PUSHBACK).map(|v| Pushback::parse(v.as_bytes()))))
+}
+
+fn is_grpc(headers: &HeaderMap) -> bool {
+    let kind = headers.get("content-type").map(HeaderValue::as_bytes);
+    let rest = kind.and_then(|kind| kind.strip_prefix(b"application/grpc"));
+    rest.is_some_and(|rest| rest.is_empty() || matches!(rest[0], b'+' | b';' | b' '))
+}
+
+/// The value of a header that may come once only.
+fn single<'h>(headers: &'h HeaderMap, name: &str) -> Result<Option<&'h HeaderValue>, ()> {
+    let mut values = headers.get_all(name).iter();
+    match (values.next(), values.next()) {
+        (value, None) => Ok(value),
+        _ => Err(()),
+    }
+}
+
+fn refuse(code: Code, message: &'static str) -> Answer {
+    Answer { code, message, pushback: None, outcome: Outcome::Failed }
+}
+
+/// What a client's head asks for; else what it is told.
+fn asked(front: &GrpcFront, parts: &request::Parts) -> Result<NewCall, Answer> {
+    let path = parts.uri.path();
+    let route = front.routes().find(path).cloned().map(Rc::new);
+    let route = route.ok_or_else(|| refuse(Code::UNIMPLEMENTED, "no such method here"))?;
+    let given = single(&parts.headers, "grpc-timeout");
+    let given = given.map_err(|()| refuse(Code::INTERNAL, "grpc-timeout comes twice"))?;
+    let timeout_ms = match given {
+        None => None,
+        Some(value) => {
+            let ms = value.to_str().ok().and_then(timeout::parse);
+            Some(ms.ok_or_else(|| refuse(Code::INTERNAL, "grpc-timeout can't be read"))?)
+        }
+    };
+    if let Some(name) = &route.key {
+        // Without its key a repeat could take effect twice.
+        if !single(&parts.headers, name).is_ok_and(|v| v.is_some_and(|v| !v.is_empty())) {
+            return Err(refuse(Code::of(3), "the method needs one idempotency key"));
+        }
+    }
+    let header = |name: &str| parts.headers.get(name).map(|v| v.as_bytes().to_vec());
+    let object = object(&route.affinity, path, header);
+    Ok(NewCall { route, object, timeout_ms })
+}
+
+/// Passes one call through, to its one end.
+pub async fn relay(front: Rc<GrpcFront>, request: Request<RecvStream>, mut respond: SendResponse<Bytes>) {
+    let (parts, body) = request.into_parts();
+    if parts.method != Method::POST || !is_grpc(&parts.headers) {
+        // Not gRPC at all: told in plain HTTP.
+        let status = if parts.method == Method::POST { 415 } else { 405 };
+        let mut answer = Response::new(());
+        *answer.status_mut() = http::StatusCode::from_u16(status).expect("a status");
+        let _ = respond.send_response(answer, true);
+        return front.not_grpc();
+    }
+    let began = front.now();
+    let mut down = Down::Head(respond);
+    let new = match asked(&front, &parts) {
+        Ok(new) => new,
+        Err(answer) => {
+            front.unasked();
+            return down.end(trailers(&answer));
+        }
+    };
+    front.sync();
+    let tracker = || Tracker::new(front.limits().message_bytes);
+    let mut up = Up { body, done: false, kept: Vec::new(), replayable: true, tracker: tracker() };
+    let (id, mut directive) = front.with(|calls| calls.begin(began, new));
+    let guard = Leaving { front: &front, id };
+    let mut last: Option<HeaderMap> = None;
+    loop {
+        directive = match directive {
+            Directive::Start(start) => {
+                let came = attempt(&front, id, &start, &parts, &mut up, &mut down, began).await;
+                front.sync();
+                match came {
+                    Came::Left => return,
+                    Came::Abort(answer) => front.with(|calls| calls.abort(front.now(), id, answer)),
+                    Came::End(end, headers) => {
+                        last = headers;
+                        front.with(|calls| calls.ended(front.now(), id, end))
+                    }
+                }
+            }
+            Directive::Pass { come_back_ms, .. } => {
+                let mut headers = last.take().unwrap_or_default();
+                push_back(&mut headers, come_back_ms.map(Pushback::After));
+                down.end(headers);
+                break;
+            }
+            Directive::Answer(answer) => {
+                down.end(trailers(&answer));
+                break;
+            }
+        };
+    }
+    std::mem::forget(guard);
+}
+
+/// Guards against a panic, or a client that leaves, keeping the call open.
+struct Leaving<'a> {
+    front: &'a GrpcFront,
+    id: CallId,
+}
+
+impl Drop for Leaving<'_> {
+    fn drop(&mut self) {
+        self.front.with(|calls| calls.left(self.front.now(), self.id));
+    }
+}
+
+/// Makes one attempt, as long as its time allows.
+async fn attempt(
+    front: &Rc<GrpcFront>,
+    id: CallId,
+    start: &Start,
+    head: &request::Parts,
+    up: &mut Up,
+    down: &mut Down,
+    began: f64,
+) -> Came {
+    let stopping = || Answer {
+        code: Code::UNAVAILABLE,
+        message: "the proxy stops",
+        pushback: None,
+        outcome: Outcome::Failed,
+    };
+    if front.is_cut() {
+        return Came::Abort(stopping());
+    }
+    let over = async {
+        loop {
+            let left = front.with(|calls| calls.due_ms(id)) - front.now();
+            if left <= 0.0 {
+                return;
+            }
+            tokio::time::sleep(span(left)).await;
+        }
+    };
+    tokio::select! {
+        biased;
+        came = pass(front, id, start, head, up, down, began) => came,
+        () = front.cut() => Came::Abort(stopping()),
+        () = over => Came::End(End::TimedOut, None),
+    }
+}
+
+async fn pass(
+    front: &Rc<GrpcFront>,
+    id: CallId,
+    start: &Start,
+    head: &request::Parts,
+    up: &mut Up,
+    down: &mut Down,
+    began: f64,
+) -> Came {
+    let Some(mut seat) = front.upstream.place(start.address, id, start.attempt) else {
+        return Came::End(End::NoConnection { local: true }, None);
+    };
+    let ready = tokio::select! {
+        biased;
+        ready = seat.ready() => ready,
+        () = down.left() => return Came::Left,
+    };
+    let mut send = match ready {
+        Ok(send) => send,
+        Err(NoLink::NotUp { local }) => return Came::End(End::NoConnection { local }, None),
+        Err(NoLink::Spent) => return Came::End(End::Stale, None),
+    };
+    // Before the first byte: the list as it is by now, and what is left of the time.
+    front.sync();
+    let Some(left) = front.with(|calls| calls.may_start(front.now(), id)) else {
+        return Came::End(End::Stale, None);
+    };
+    let mut request = Request::new(());
+    *request.method_mut() = Method::POST;
+    *request.version_mut() = http::Version::HTTP_2;
+    *request.uri_mut() = head.uri.clone();
+    if head.uri.authority().is_none() {
+        let path = head.uri.path();
+        let uri =
+            http::Uri::builder().scheme("http").authority(start.address.to_string()).path_and_query(path);
+        *request.uri_mut() = uri.build().unwrap_or_default();
+    }
+    *request.headers_mut() = without_hop(&head.headers);
+    let own = request.headers_mut();
+    own.insert("te", HeaderValue::from_static("trailers"));
+    if left.is_finite() {
+        if let Ok(value) = HeaderValue::from_str(&timeout::format(left)) {
+            own.insert("grpc-timeout", value);
+        }
+    }
+    if start.attempt > 0 {
+        own.insert(HeaderName::from_static("grpc-previous-rpc-attempts"), HeaderValue::from(start.attempt));
+    }
+    let (response, mut stream) = match send.send_request(request, false) {
+        Ok(out) => out,
+        Err(_) => {
+            seat.spent();
+            return Came::End(End::Stale, None);
+        }
+    };
+    drop(send);
+    let came = tokio::select! {
+        biased;
+        came = receive(front, id, response, down, began) => came,
+        came = transmit(front, id, up, &mut stream) => came,
+    };
+    if matches!(came, Came::End(End::Unprocessed, _)) {
+        seat.spent();
+    }
+    if !matches!(came, Came::End(End::Status(..), _)) {
+        // Whatever the backend still does for this attempt, nobody waits for it.
+        stream.send_reset(Reason::CANCEL);
+    }
+    came
+}
+
+/// Sends what was kept, then what the client sends, as fast as the backend takes it. Ends only with the client.
+async fn transmit(front: &GrpcFront, id: CallId, up: &mut Up, stream: &mut SendStream<Bytes>) -> Came {
+    for chunk in up.kept.clone() {
+        forward(stream, chunk).await;
+    }
+    while !up.done {
+        match up.body.data().await {
+            None => {
+                if up.tracker.within() {
+                    return Came::Abort(refuse(Code::INTERNAL, "the request was cut within a message"));
+                }
+                up.done = true;
+            }
+            Some(Err(_)) => return Came::Left,
+            Some(Ok(chunk)) => {
+                if let Err(bad) = up.tracker.feed(&chunk) {
+                    return Came::Abort(match bad {
+                        BadMessage::Flag(_) => refuse(Code::INTERNAL, "a message's prefix can't be read"),
+                        BadMessage::TooLong(_) => refuse(Code::RESOURCE_EXHAUSTED, "a message is too long"),
+                    });
+                }
+                let most = front.limits().replay_bytes;
+                up.replayable = up.replayable && front.with(|calls| calls.keep(id, chunk.len(), most));
+                let len = chunk.len();
+                if up.replayable {
+                    up.kept.push(chunk.clone());
+                } else {
+                    up.kept = Vec::new();
+                }
+                forward(stream, chunk).await;
+                let _ = up.body.flow_control().release_capacity(len);
+            }
+        }
+    }
+    let _ = stream.send_data(Bytes::new(), true);
+    std::future::pending().await
+}
+
+/// Sends a chunk by the receiver's window. Where it takes no more, its own end of the stream says why.
+async fn forward(stream: &mut SendStream<Bytes>, mut chunk: Bytes) {
+    while !chunk.is_empty() {
+        stream.reserve_capacity(chunk.len());
+        if stream.capacity() == 0 {
+            match poll_fn(|cx| stream.poll_capacity(cx)).await {
+                Some(Ok(_)) => continue,
+                _ => return std::future::pending().await,
+            }
+        }
+        let part = chunk.split_to(chunk.len().min(stream.capacity()));
+        if stream.send_data(part, false).is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
+/// Passes the response on as it comes, to its status.
+async fn receive(
+    front: &GrpcFront,
+    id: CallId,
+    response: ResponseFuture,
+    down: &mut Down,
+    began: f64,
+) -> Came {
+    let response = tokio::select! {
+        biased;
+        response = response => response,
+        () = down.left() => return Came::Left,
+    };
+    let (parts, mut body) = match response {
+        Ok(response) => response.into_parts(),
+        Err(error) => return Came::End(end_of(&error), None),
+    };
+    let headers = without_hop(&parts.headers);
+    if body.is_end_stream() {
+        // "Trailers-only": the whole answer is its status, and the client has nothing of it yet.
+        return match status_of(&headers) {
+            Some(end) => Came::End(end, Some(headers)),
+            None if parts.status != 200 => Came::End(End::Http(parts.status.as_u16()), None),
+            None => Came::End(End::Cut, None),
+        };
+    }
+    if parts.status != 200 || !is_grpc(&headers) {
+        return Came::End(End::Http(parts.status.as_u16()), None);
+    }
+    if !down.commit(headers) {
+        return Came::Left;
+    }
+    front.with(|calls| calls.committed(front.now(), id));
+    front.observe_head(front.now() - began);
+    let mut tracker = Tracker::new(front.limits().message_bytes);
+    loop {
+        let chunk = tokio::select! {
+            biased;
+            chunk = body.data() => chunk,
+            () = down.left() => return Came::Left,
+        };
+        let chunk = match chunk {
+            None => break,
+            Some(Err(error)) => return Came::End(end_of(&error), None),
+            Some(Ok(chunk)) => chunk,
+        };
+        if tracker.feed(&chunk).is_err() {
+            return Came::End(End::Spoilt, None);
+        }
+        let len = chunk.len();
+        let Down::Body(stream) = down else { return Came::Left };
+        if !deliver(stream, chunk).await {
+            return Came::Left;
+        }
+        let _ = body.flow_control().release_capacity(len);
+    }
+    let last = match body.trailers().await {
+        Ok(Some(last)) => without_hop(&last),
+        Ok(None) => return Came::End(End::Cut, None),
+        Err(error) => return Came::End(end_of(&error), None),
+    };
+    match status_of(&last) {
+        // A status of OK after half a message is none.
+        Some(End::Status(Code::OK, _)) if tracker.within() => Came::End(End::Cut, None),
+        Some(end) => Came::End(end, Some(last)),
+        None => Came::End(End::Cut, None),
+    }
+}
+
+/// Sends a chunk by the client's window; false where the client is gone.
+async fn deliver(stream: &mut SendStream<Bytes>, mut chunk: Bytes) -> bool {
+    while !chunk.is_empty() {
+        stream.reserve_capacity(chunk.len());
+        if stream.capacity() == 0 {
+            match poll_fn(|cx| stream.poll_capacity(cx)).await {
+                Some(Ok(_)) => continue,
+                _ => return false,
+            }
+        }
+        let part = chunk.split_to(chunk.len().min(stream.capacity()));
+        if stream.send_data(part, false).is_err() {
+            return false;
+        }
+    }
+    true
+}
--- /dev/null
+++ b/src/grpc/status.rs
@@ -0,0 +1,275 @@
+//! gRPC status codes; what HTTP statuses and HTTP/2 errors mean as one; and what the end of an attempt says to the
+//! decision module and to the client. No I/O.
+//!
+//! The tables are those of "gRPC over HTTP/2" (errors), "HTTP to gRPC Status Code Mapping", and for what may be
+//! tried again gRFC A6 (client retries): a call is committed once the response's headers went to its client, and
+//! what a backend surely did not process may always be tried again.
+
+use crate::interface::Repeat;
+use crate::Verdict;
+use percent_encoding::{utf8_percent_encode, AsciiSet, CONTROLS};
+
+/// A status code. What a peer sent beyond the named ones reads as [`Code::UNKNOWN`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Code(u8);
+
+/// How many codes there are.
+pub const CODES: usize = 17;
+
+const NAMES: [&str; CODES] = [
+    "OK",
+    "CANCELLED",
+    "UNKNOWN",
+    "INVALID_ARGUMENT",
+    "DEADLINE_EXCEEDED",
+    "NOT_FOUND",
+    "ALREADY_EXISTS",
+    "PERMISSION_DENIED",
+    "RESOURCE_EXHAUSTED",
+    "FAILED_PRECONDITION",
+    "ABORTED",
+    "OUT_OF_RANGE",
+    "UNIMPLEMENTED",
+    "INTERNAL",
+    "UNAVAILABLE",
+    "DATA_LOSS",
+    "UNAUTHENTICATED",
+];
+
+#[allow(missing_docs)]
+impl Code {
+    pub const OK: Self = Self(0);
+    pub const CANCELLED: Self = Self(1);
+    pub const UNKNOWN: Self = Self(2);
+    pub const INVALID_ARGUMENT: Self = Self(3);
+    pub const DEADLINE_EXCEEDED: Self = Self(4);
+    pub const PERMISSION_DENIED: Self = Self(7);
+    pub const RESOURCE_EXHAUSTED: Self = Self(8);
+    pub const UNIMPLEMENTED: Self = Self(12);
+    pub const INTERNAL: Self = Self(13);
+    pub const UNAVAILABLE: Self = Self(14);
+    pub const DATA_LOSS: Self = Self(15);
+    pub const UNAUTHENTICATED: Self = Self(16);
+}
+
+impl Code {
+    /// The code of a number, unknown ones as [`Code::UNKNOWN`].
+    pub fn of(number: u64) -> Self {
+        if number < CODES as u64 {
+            Self(number as u8)
+        } else {
+            Self::UNKNOWN
+        }
+    }
+
+    /// The code of a `grpc-status` header's value; none where it is no number in plain digits.
+    pub fn parse(value: &[u8]) -> Option<Self> {
+        let plain = !value.is_empty() && value.len() <= 10 && value.iter().all(u8::is_ascii_digit);
+        plain.then(|| std::str::from_utf8(value).ok()?.parse().ok().map(Self::of))?
+    }
+
+    /// The code of a name, as configurations word it.
+    pub fn named(name: &str) -> Option<Self> {
+        NAMES.iter().position(|n| *n == name).map(|k| Self(k as u8))
+    }
+
+    /// Its name.
+    pub fn name(self) -> &'static str {
+        NAMES[usize::from(self.0)]
+    }
+
+    /// Its number.
+    pub fn number(self) -> u8 {
+        self.0
+    }
+
+    /// Whether it tells of the caller's own request or standing, and not of the backend's health.
+    pub fn is_callers(self) -> bool {
+        matches!(self.0, 1 | 3 | 5 | 6 | 7 | 9 | 10 | 11 | 12 | 16)
+    }
+
+    /// What an answer that is not gRPC means, by its HTTP status.
+    pub fn of_http(status: u16) -> Self {
+        match status {
+            400 | 431 => Self::INTERNAL,
+            401 => Self::UNAUTHENTICATED,
+            403 => Self::PERMISSION_DENIED,
+            404 => Self::UNIMPLEMENTED,
+            429 | 502 | 503 | 504 => Self::UNAVAILABLE,
+            _ => Self::UNKNOWN,
+        }
+    }
+
+    /// What RST_STREAM means, by its error code (RFC 9113, section 7).
+    pub fn of_reset(reason: u32) -> Self {
+        match reason {
+            0x7 => Self::UNAVAILABLE,
+            0x8 => Self::CANCELLED,
+            0xb => Self::RESOURCE_EXHAUSTED,
+            0xc => Self::PERMISSION_DENIED,
+            _ => Self::INTERNAL,
+        }
+    }
+}
+
+/// What a `grpc-message` may hold unescaped: printable ASCII but `%`.
+const MESSAGE: &AsciiSet = &CONTROLS.add(b'%');
+
+/// A text as `grpc-message` words it.
+pub fn message(text: &str) -> String {
+    utf8_percent_encode(text, MESSAGE).to_string()
+}
+
+/// What a server says of trying again (`grpc-retry-pushback-ms`, gRFC A6).
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Pushback {
+    /// Not at all.
+    Never,
+    /// After this many milliseconds.
+    After(f64),
+}
+
+impl Pushback {
+    /// Reads the header's value; what is no number says never, as the gRFC asks.
+    pub fn parse(value: &[u8]) -> Self {
+        let number = std::str::from_utf8(value).ok().and_then(|text| text.parse::<i64>().ok());
+        match number {
+            Some(ms) if ms >= 0 => Self::After(ms as f64),
+            _ => Self::Never,
+        }
+    }
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    /// The backend ended the call with a status.
+    Status(Code, Option<Pushback>),
+    /// It answered something that is not gRPC, with this HTTP status.
+    Http(u16),
+    /// It reset the stream, with this error code, and may have processed it.
+    Reset(u32),
+    /// It surely did not process the stream: REFUSED_STREAM, or a GOAWAY that leaves it out.
+    Unprocessed,
+    /// No connection came up, or none had a place. `local` says that the fault is this machine's own.
+    NoConnection {
+        /// This proxy's own fault or bound.
+        local: bool,
+    },
+    /// Never sent: its backend drained or its time was over while it waited.
+    Stale,
+    /// The connection ended under it.
+    Broken,
+    /// The stream ended within a message, or without a status.
+    Cut,
+    /// What came breaks the rules of messages.
+    Spoilt,
+    /// No answer in time.
+    TimedOut,
+}
+
+/// What an end says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Judgement {
+    /// To the decision module. For a caller's own error this is [`Verdict::Cancelled`], which says nothing of the
+    /// backend's health.
+    pub verdict: Verdict,
+    /// The status that a client would get of it.
+    pub code: Code,
+    /// Whether the module may be asked for another attempt; a committed call never gets one.
+    pub again: bool,
+}
+
+/// Judges the end of an attempt. `committed` says that the client has the response's headers; `retry` are the
+/// statuses after which a method that may be repeated is tried again.
+pub fn judge(end: End, committed: bool, repeat: Repeat, retry: &[Code]) -> Judgement {
+    let repeatable = repeat != Repeat::Unsafe;
+    let by_code = |code: Code| {
+        let busy = code == Code::UNAVAILABLE || code == Code::RESOURCE_EXHAUSTED;
+        match code {
+            Code::OK => Verdict::Served,
+            Code::DEADLINE_EXCEEDED => Verdict::TimedOut,
+            // Whether it ran is not told: only where a repeat does no harm is it taken for not taken.
+            _ if busy && !committed && repeat == Repeat::Safe => Verdict::Refused,
+            code if code.is_callers() => Verdict::Cancelled,
+            _ => Verdict::Error,
+        }
+    };
+    let (verdict, code, again) = match end {
+        End::Status(code, pushback) => {
+            (by_code(code), code, repeatable && pushback.is_none() && retry.contains(&code))
+        }
+        End::Http(status) => {
+            let code = Code::of_http(status);
+            (Verdict::Error, code, repeatable && retry.contains(&code))
+        }
+        End::Reset(reason) => (Verdict::Error, Code::of_reset(reason), repeatable),
+        End::Unprocessed => (Verdict::Refused, Code::UNAVAILABLE, true),
+        End::NoConnection { local: true } | End::Stale => (Verdict::NeverSent, Code::UNAVAILABLE, true),
+        End::NoConnection { local: false } => (Verdict::NoConnection, Code::UNAVAILABLE, true),
+        End::Broken => (Verdict::Broken, Code::UNAVAILABLE, repeatable),
+        End::Cut | End::Spoilt => (Verdict::Error, Code::INTERNAL, repeatable),
+        End::TimedOut => (Verdict::TimedOut, Code::DEADLINE_EXCEEDED, repeatable),
+    };
+    Judgement { verdict, code, again: again && !committed }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ALL: [Repeat; 3] = [Repeat::Safe, Repeat::Keyed, Repeat::Unsafe];
+
+    #[test]
+    fn codes_are_read_and_named() {
+        for n in 0..CODES as u64 {
+            let code = Code::of(n);
+            assert_eq!(Code::parse(n.to_string().as_bytes()), Some(code));
+            assert_eq!(Code::named(code.name()), Some(code));
+        }
+        assert_eq!(Code::parse(b"17"), Some(Code::UNKNOWN), "a number that nobody knows");
+        for bad in [&b""[..], b"x", b"-1", b"1 ", b"00000000001", b"\xff"] {
+            assert_eq!(Code::parse(bad), None);
+        }
+        assert_eq!(message("50% of caf\u{e9}\n"), "50%25 of caf%C3%A9%0A");
+        assert_eq!(Pushback::parse(b"250"), Pushback::After(250.0));
+        assert_eq!((Pushback::parse(b"-1"), Pushback::parse(b"soon")), (Pushback::Never, Pushback::Never));
+    }
+
+    /// Guards the rule that what may have run is never sent twice: whatever the end, a method that may run once
+    /// only goes on after ends that surely came before it ran.
+    #[test]
+    fn an_unsafe_method_goes_on_only_where_nothing_ran() {
+        let mut ends = vec![End::Reset(7), End::Reset(8), End::Broken, End::Cut, End::Spoilt, End::TimedOut];
+        ends.extend((0..17).map(|n| End::Status(Code::of(n), None)));
+        ends.extend([200, 400, 404, 429, 500, 503].map(End::Http));
+        let all: Vec<Code> = (0..17).map(Code::of).collect();
+        for end in &ends {
+            let judged = judge(*end, false, Repeat::Unsafe, &all);
+            assert!(!judged.again && !judged.verdict.never_ran(), "{end:?}: {judged:?}");
+        }
+        for end in [End::Unprocessed, End::NoConnection { local: false }, End::Stale] {
+            let judged = judge(end, false, Repeat::Unsafe, &[]);
+            assert!(judged.again && judged.verdict.never_ran(), "{end:?}: {judged:?}");
+        }
+        ends.extend([End::Unprocessed, End::Stale]);
+        for (end, repeat) in ends.iter().flat_map(|e| ALL.map(|r| (*e, r))) {
+            assert!(!judge(end, true, repeat, &all).again, "{end:?}: committed");
+        }
+    }
+
+    /// Every status code, trailers-only and after data: only OK is served.
+    #[test]
+    fn only_ok_is_served_and_the_callers_own_errors_leave_the_backend_alone() {
+        for (n, committed) in (0..17).flat_map(|n| [(n, false), (n, true)]) {
+            let code = Code::of(n);
+            let judged = judge(End::Status(code, None), committed, Repeat::Safe, &[Code::UNAVAILABLE]);
+            assert_eq!(judged.verdict == Verdict::Served, code == Code::OK, "{code:?}");
+            assert_eq!(judged.verdict == Verdict::Cancelled, code.is_callers(), "{code:?}");
+            assert_eq!(judged.again, code == Code::UNAVAILABLE && !committed);
+            assert_eq!(judged.code, code);
+        }
+        let told = End::Status(Code::UNAVAILABLE, Some(Pushback::After(50.0)));
+        assert!(!judge(told, false, Repeat::Safe, &[Code::UNAVAILABLE]).again, "it said when to come back");
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod admission;
 pub mod clock;
 pub mod engine;
+pub mod grpc;
 mod interface;
 pub mod lifecycle;
 pub mod memory;
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -9,6 +9,8 @@
 use crate::clock::{span, Clock};
 use crate::engine::host::Host;
 use crate::engine::{Engine, EngineBounds};
+use crate::grpc::config::GrpcConfig;
+use crate::grpc::server::{self as grpc, GrpcFront};
 use crate::memory::connections::Bounds;
 use crate::purge::config::PurgeConfig;
 use crate::purge::{driver, wire::CALL_MOST};
@@ -65,6 +67,8 @@
     pub door: Option<DoorConfig>,
     /// Members from a registry.
     pub registry: Option<RegistryConfig>,
+    /// gRPC pass-through.
+    pub grpc: Option<GrpcConfig>,
 }
 
 /// Starts the engine of a configuration, with what was known at the start. A second front may bring `extra`
@@ -95,7 +99,7 @@
 
 /// Serves until SIGTERM or SIGINT, and ends once all that was taken is answered.
 pub async fn serve(mut config: Config, extras: Extras) -> Result<(), ServeError> {
-    let Extras { front, router, purges, door, registry } = extras;
+    let Extras { front, router, purges, door, registry, grpc } = extras;
     let handed = inherit::listener();
     let handed = handed.map_err(|e| ServeError::System("the socket that was handed over".into(), e))?;
     config.handed_over = handed.is_some();
@@ -188,6 +192,24 @@
         });
         tracing::info!(%listen, "signed links are served");
     }
+    let (third, passing) = (Rc::new(Notify::new()), grpc.is_some());
+    let mut grpc_front = None;
+    if let Some(grpc) = grpc {
+        let listen = grpc.at();
+        let front = GrpcFront::new(host.clone(), grpc.clone(), seed);
+        let front = front.map_err(|why| ServeError::Field("routes", why))?;
+        let listener = bind(listen).await?;
+        host.spawn("accepting", grpc::accept(front.clone(), listener, stop.clone(), third.clone()));
+        host.spawn("the stop of calls", grpc::cut_at_stop(front.clone(), stop.clone()));
+        let figures = front.clone();
+        host.add_figures(Box::new(move || figures.figures()));
+        always(&host, "gRPC's housekeeping", {
+            let front = front.clone();
+            move || grpc::keep(front.clone())
+        });
+        tracing::info!(%listen, "gRPC calls are passed through");
+        grpc_front = Some((front, grpc));
+    }
     always(&host, "keeping time", {
         let host = host.clone();
         move || host.clone().keep_time()
@@ -214,6 +236,12 @@
                 if let Some(door) = &door {
                     read_door_again(&host, door);
                 }
+                if let Some((front, config)) = &grpc_front {
+                    match config.again().map_err(|e| e.to_string()).and_then(|fresh| front.retune(fresh)) {
+                        Ok(()) => tracing::info!(file = %config.path.display(), "gRPC's file read again"),
+                        Err(why) => tracing::warn!(%why, "gRPC's old file stays"),
+                    }
+                }
             }
         }
     }
@@ -226,11 +254,17 @@
         stop.turn_away();
         closing.notify_one();
         second.notify_one();
+        if passing {
+            third.notify_one();
+        }
         tokio::time::sleep(span(KEEP_IDLE_MS)).await;
     } else {
         tokio::time::sleep(span(ACCEPT_ON_MS)).await;
         closing.notify_one();
         second.notify_one();
+        if passing {
+            third.notify_one();
+        }
     }
     stop.begin();
     // A moment for connections that the machine had accepted and this process not yet.
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 use argh::FromArgs;
 use calicobeam::admission::config::DoorConfig;
+use calicobeam::grpc::config::GrpcConfig;
 use calicobeam::lifecycle::config::{read_json, Config, ConfigError};
 use calicobeam::lifecycle::front::FrontConfig;
 use calicobeam::lifecycle::serve::{self, Extras};
@@ -54,6 +55,9 @@
     /// the file of the registry client; without it the members come from the bulletin
     #[argh(option)]
     registry: Option<PathBuf>,
+    /// the file of gRPC pass-through; without it there is no such front
+    #[argh(option)]
+    grpc: Option<PathBuf>,
 }
 
 /// Print the version.
@@ -83,6 +87,9 @@
     /// the file of the registry client
     #[argh(option)]
     registry: Option<PathBuf>,
+    /// the file of gRPC pass-through
+    #[argh(option)]
+    grpc: Option<PathBuf>,
 }
 
 /// Issue fleet purges and see how far they got.
@@ -168,6 +175,10 @@
     path.map(|path| RegistryConfig::read(&path).map_err(|e| e.to_string())).transpose()
 }
 
+fn read_grpc(path: Option<PathBuf>) -> Result<Option<GrpcConfig>, String> {
+    path.map(|path| GrpcConfig::read(&path).map_err(|e| e.to_string())).transpose()
+}
+
 fn read_door(path: Option<PathBuf>) -> Result<Option<DoorConfig>, String> {
     path.map(|path| DoorConfig::read(&path).map_err(|e| e.to_string())).transpose()
 }
@@ -253,6 +264,7 @@
             read_purges(check.purges)?;
             read_door(check.door)?;
             read_registry(check.registry)?;
+            read_grpc(check.grpc)?;
             println!("calicobeam: the configuration of {:?} is in order", config.name);
         }
         Command::Serve(arguments) => {
@@ -262,12 +274,15 @@
             let purges = read_purges(arguments.purges)?;
             let door = read_door(arguments.door)?;
             let registry = read_registry(arguments.registry)?;
+            let grpc = read_grpc(arguments.grpc)?;
             logging();
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
             let tasks = tokio::task::LocalSet::new();
-            let served = tasks
-                .block_on(&runtime, serve::serve(config, Extras { front, router, purges, door, registry }));
+            let served = tasks.block_on(
+                &runtime,
+                serve::serve(config, Extras { front, router, purges, door, registry, grpc }),
+            );
             return served.map_err(|e| e.to_string());
         }
         Command::Purge(command) => purge(command.command)?,
--- a/src/wire/cache.rs
+++ b/src/wire/cache.rs
@@ -59,7 +59,7 @@
 }
 
 /// Whether a connect failed for want of something on this machine, such as descriptors.
-fn is_local(error: &std::io::Error) -> bool {
+pub(crate) fn is_local(error: &std::io::Error) -> bool {
     // EMFILE, ENFILE, EADDRNOTAVAIL, ENOBUFS, ENOMEM.
     matches!(error.raw_os_error(), Some(24 | 23 | 99 | 105 | 12))
 }
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -113,6 +113,18 @@
 }
 
 impl Stop {
+    /// Counts a connection as open until what comes back is dropped.
+    pub fn enter(self: &Rc<Self>) -> Open {
+        Open::new(self.clone())
+    }
+
+    /// Waits until the stop has begun.
+    pub async fn begun(&self) {
+        while !self.stopping.get() {
+            self.wake.notified().await;
+        }
+    }
+
     /// From now on connections end after their answer.
     pub fn turn_away(&self) {
         self.turning_away.set(true);
@@ -239,7 +251,8 @@
     }
 }
 
-struct Open(Rc<Stop>);
+/// A connection that a stop waits for.
+pub struct Open(Rc<Stop>);
 
 impl Open {
     fn new(stop: Rc<Stop>) -> Self {
--- /dev/null
+++ b/tests/stand_ins/grpc.rs
@@ -0,0 +1,377 @@
+//! Stand-in gRPC servers and clients on loopback, over the `h2` crate. A server does for each call what the call's
+//! `x-act` header says, or what the test set for the whole box; it notes every call that reached it.
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use calicobeam::clock::Clock;
+use h2::client::SendRequest;
+use h2::server::SendResponse;
+use h2::{Reason, RecvStream, SendStream};
+use http::{HeaderMap, Request, Response};
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+/// A call that reached a box.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at_ms: f64,
+    pub path: String,
+    pub headers: HeaderMap,
+    /// The request's bytes as far as they were read.
+    pub body: Vec<u8>,
+    /// The request ended as it should.
+    pub whole: bool,
+    /// The caller reset it, or its connection went.
+    pub reset: bool,
+}
+
+impl Arrival {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// A message of `n` bytes with its prefix.
+pub fn msg(n: usize) -> Vec<u8> {
+    [&[0u8][..], &(n as u32).to_be_bytes(), &vec![b'm'; n]].concat()
+}
+
+/// A box.
+#[derive(Clone)]
+pub struct GrpcBox {
+    pub address: SocketAddr,
+    pub calls: Rc<RefCell<Vec<Arrival>>>,
+    /// What it does instead of what the calls say.
+    pub act: Rc<RefCell<Option<String>>>,
+    /// So many calls get `act`, the others what they ask for; `u32::MAX` is all.
+    pub acts_left: Rc<Cell<u32>>,
+    pub connections: Rc<Cell<u32>>,
+    kill: Rc<Notify>,
+    go_away: Rc<Notify>,
+}
+
+impl GrpcBox {
+    /// At an address; port 0 is any.
+    pub async fn start(at: &str) -> Self {
+        let listener = TcpListener::bind(at).await.unwrap();
+        let own = Self {
+            address: listener.local_addr().unwrap(),
+            calls: Rc::default(),
+            act: Rc::default(),
+            acts_left: Rc::new(Cell::new(0)),
+            connections: Rc::default(),
+            kill: Rc::default(),
+            go_away: Rc::default(),
+        };
+        let served = own.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                served.connections.set(served.connections.get() + 1);
+                spawn_local(served.clone().serve(stream));
+            }
+        });
+        own
+    }
+
+    /// From now on `n` calls get this.
+    pub fn does(&self, act: &str, n: u32) {
+        *self.act.borrow_mut() = Some(act.into());
+        self.acts_left.set(n);
+    }
+
+    pub fn count(&self) -> usize {
+        self.calls.borrow().len()
+    }
+
+    /// Cuts all connections without a word.
+    pub fn kill(&self) {
+        self.kill.notify_waiters();
+    }
+
+    /// Says GOAWAY on all connections, and finishes what it has.
+    pub fn go_away(&self) {
+        self.go_away.notify_waiters();
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut builder = h2::server::Builder::new();
+        builder.initial_window_size(1 << 20).max_concurrent_streams(1_000);
+        let Ok(mut link) = builder.handshake::<_, Bytes>(stream).await else { return };
+        loop {
+            tokio::select! {
+                biased;
+                () = self.kill.notified() => return,
+                () = self.go_away.notified() => link.graceful_shutdown(),
+                call = link.accept() => match call {
+                    Some(Ok((request, respond))) => drop(spawn_local(self.clone().call(request, respond))),
+                    _ => return,
+                }
+            }
+        }
+    }
+
+    async fn call(self, request: Request<RecvStream>, respond: SendResponse<Bytes>) {
+        let (parts, body) = request.into_parts();
+        let mut act = parts.headers.get("x-act").and_then(|v| v.to_str().ok()).unwrap_or("ok").to_string();
+        if self.acts_left.get() > 0 {
+            if self.acts_left.get() != u32::MAX {
+                self.acts_left.set(self.acts_left.get() - 1);
+            }
+            act = self.act.borrow().clone().unwrap_or(act);
+        }
+        let place = self.calls.borrow().len();
+        self.calls.borrow_mut().push(Arrival {
+            at_ms: Clock::system().now(),
+            path: parts.uri.path().to_string(),
+            headers: parts.headers,
+            body: Vec::new(),
+            whole: false,
+            reset: false,
+        });
+        let acting = Acting { own: self, place, body, respond: Some(respond), stream: None, pushback: None };
+        acting.run(&act).await;
+    }
+}
+
+struct Acting {
+    own: GrpcBox,
+    place: usize,
+    body: RecvStream,
+    respond: Option<SendResponse<Bytes>>,
+    stream: Option<SendStream<Bytes>>,
+    pushback: Option<String>,
+}
+
+impl Acting {
+    fn note(&self, change: impl FnOnce(&mut Arrival)) {
+        change(&mut self.own.calls.borrow_mut()[self.place]);
+    }
+
+    /// The next bytes of the request; none at its end.
+    async fn chunk(&mut self) -> Option<Bytes> {
+        match self.body.data().await {
+            Some(Ok(chunk)) => {
+                let _ = self.body.flow_control().release_capacity(chunk.len());
+                self.note(|a| a.body.extend_from_slice(&chunk));
+                Some(chunk)
+            }
+            Some(Err(_)) => {
+                self.note(|a| a.reset = true);
+                None
+            }
+            None => {
+                self.note(|a| a.whole = true);
+                None
+            }
+        }
+    }
+
+    fn head(&mut self) {
+        if let Some(mut respond) = self.respond.take() {
+            let head = Response::builder().header("content-type", "application/grpc").header("x-box", "yes");
+            self.stream = respond.send_response(head.body(()).unwrap(), false).ok();
+        }
+    }
+
+    async fn send(&mut self, bytes: Vec<u8>) {
+        self.head();
+        let Some(stream) = &mut self.stream else { return };
+        let mut bytes = Bytes::from(bytes);
+        while !bytes.is_empty() {
+            stream.reserve_capacity(bytes.len());
+            if stream.capacity() == 0 && !matches!(poll_fn(|cx| stream.poll_capacity(cx)).await, Some(Ok(_)))
+            {
+                return;
+            }
+            let n = bytes.len().min(stream.capacity());
+            if stream.send_data(bytes.split_to(n), false).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn status(&mut self, code: &str) {
+        let mut last = HeaderMap::new();
+        last.insert("grpc-status", code.parse().unwrap());
+        last.insert("grpc-message", "of%20the%20box".parse().unwrap());
+        last.insert("x-trail-bin", "AAEC".parse().unwrap());
+        if let Some(ms) = self.pushback.take() {
+            last.insert("grpc-retry-pushback-ms", ms.parse().unwrap());
+        }
+        if let Some(mut stream) = self.stream.take() {
+            let _ = stream.send_trailers(last);
+        } else if let Some(mut respond) = self.respond.take() {
+            let mut head = Response::new(());
+            *head.headers_mut() = last;
+            head.headers_mut().insert("content-type", "application/grpc".parse().unwrap());
+            let _ = respond.send_response(head, true);
+        }
+    }
+
+    /// Waits until the caller resets the call.
+    async fn hang(&mut self) {
+        let gone = poll_fn(|cx| match (&mut self.stream, &mut self.respond) {
+            (Some(stream), _) => stream.poll_reset(cx).map(drop),
+            (None, Some(respond)) => respond.poll_reset(cx).map(drop),
+            _ => std::task::Poll::Pending,
+        });
+        gone.await;
+        self.note(|a| a.reset = true);
+    }
+
+    async fn run(mut self, act: &str) {
+        let script = if act == "ok" { "read head msg:8 status:0" } else { act };
+        for step in script.split(' ') {
+            let (word, value) = step.split_once(':').unwrap_or((step, "0"));
+            let n: usize = value.parse().unwrap_or(0);
+            match word {
+                "read" => while self.chunk().await.is_some() {},
+                "head" => self.head(),
+                "msg" => self.send(msg(n)).await,
+                // Many messages, as fast as the caller takes them.
+                "flood" => {
+                    for _ in 0..n {
+                        self.send(msg(1_000)).await;
+                    }
+                }
+                "part" => self.send(msg(n)[..5 + n / 2].to_vec()).await,
+                "raw" => self.send(vec![9; n]).await,
+                "sleep" => tokio::time::sleep(Duration::from_millis(n as u64)).await,
+                "push" => self.pushback = Some(value.to_string()),
+                "status" => self.status(value),
+                "echo" => {
+                    self.head();
+                    while let Some(chunk) = self.chunk().await {
+                        self.send(chunk.to_vec()).await;
+                    }
+                    self.status("0");
+                }
+                "rst" => {
+                    let reason = Reason::from(n as u32);
+                    self.stream.iter_mut().for_each(|s| s.send_reset(reason));
+                    self.respond.iter_mut().for_each(|r| r.send_reset(reason));
+                }
+                "end" => {
+                    self.head();
+                    self.stream.iter_mut().for_each(|s| drop(s.send_data(Bytes::new(), true)));
+                }
+                "http" => {
+                    if let Some(mut respond) = self.respond.take() {
+                        let head = Response::builder().status(n as u16).header("content-type", "text/html");
+                        if let Ok(mut s) = respond.send_response(head.body(()).unwrap(), false) {
+                            let _ = s.send_data(Bytes::from_static(b"<p>"), true);
+                        }
+                    }
+                }
+                "hang" => self.hang().await,
+                "kill" => self.own.kill(),
+                "goaway" => self.own.go_away(),
+                other => panic!("no such step {other:?}"),
+            }
+        }
+    }
+}
+
+/// What a caller got.
+#[derive(Debug, Default)]
+pub struct Got {
+    pub http: u16,
+    pub head: HeaderMap,
+    pub body: Vec<u8>,
+    pub trailers: Option<HeaderMap>,
+    pub error: Option<h2::Error>,
+    pub took_ms: f64,
+}
+
+impl Got {
+    fn last(&self) -> &HeaderMap {
+        self.trailers.as_ref().unwrap_or(&self.head)
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.last().get(name)?.to_str().ok()
+    }
+
+    /// The status; -1 where there was none.
+    pub fn status(&self) -> i32 {
+        self.header("grpc-status").and_then(|v| v.parse().ok()).unwrap_or(-1)
+    }
+}
+
+/// A caller's connection.
+#[derive(Clone)]
+pub struct Caller {
+    send: SendRequest<Bytes>,
+}
+
+impl Caller {
+    pub async fn connect(to: SocketAddr) -> Self {
+        let stream = TcpStream::connect(to).await.unwrap();
+        let _ = stream.set_nodelay(true);
+        let mut builder = h2::client::Builder::new();
+        builder.initial_window_size(1 << 20).initial_connection_window_size(4 << 20);
+        let (send, link) = builder.handshake::<_, Bytes>(stream).await.unwrap();
+        spawn_local(async move { drop(link.await) });
+        Self { send }
+    }
+
+    /// Begins a call; the request's body goes by the stream.
+    pub async fn begin(
+        &self,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<(h2::client::ResponseFuture, SendStream<Bytes>), h2::Error> {
+        let mut request = Request::builder().method("POST").uri(format!("http://edge{path}"));
+        request = request.header("content-type", "application/grpc+proto").header("te", "trailers");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let mut send = self.send.clone().ready().await?;
+        send.send_request(request.body(()).unwrap(), false)
+    }
+
+    /// A whole call with these bytes as its request.
+    pub async fn call(&self, path: &str, headers: &[(&str, &str)], body: Vec<u8>) -> Got {
+        let start = Instant::now();
+        let mut got = match self.begin(path, headers).await {
+            Ok((response, mut stream)) => {
+                let _ = stream.send_data(body.into(), true);
+                finish(response).await
+            }
+            Err(error) => Got { error: Some(error), ..Got::default() },
+        };
+        got.took_ms = start.elapsed().as_secs_f64() * 1_000.0;
+        got
+    }
+}
+
+/// Takes a response to its end.
+pub async fn finish(response: h2::client::ResponseFuture) -> Got {
+    let mut got = Got::default();
+    let (parts, mut body) = match response.await {
+        Ok(response) => response.into_parts(),
+        Err(error) => return Got { error: Some(error), ..got },
+    };
+    (got.http, got.head) = (parts.status.as_u16(), parts.headers);
+    while let Some(chunk) = body.data().await {
+        match chunk {
+            Ok(chunk) => {
+                let _ = body.flow_control().release_capacity(chunk.len());
+                got.body.extend_from_slice(&chunk);
+            }
+            Err(error) => return Got { error: Some(error), ..got },
+        }
+    }
+    match body.trailers().await {
+        Ok(trailers) => got.trailers = trailers,
+        Err(error) => got.error = Some(error),
+    }
+    got
+}
