gRPC: fair queues ahead of unary calls, state at the second address, the program tested whole

Need: the door is for every front; operators ask what a path's line is and which backends serve. Change: src/grpc/door.rs (the gate of src/admission with a pass a call), GET /grpc, calicobeam grpc-route, SIGHUP and SIGTERM in the program. An attempt that may not be followed by another has all the call's time: the process test found unary calls that may run once given up at 300 ms of 2 s by a time-out that nothing could follow.

--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -34,8 +34,8 @@
 }
 
 impl Metrics {
-    fn new() -> Self {
-        let mut registry = Registry::with_prefix("door");
+    fn new(prefix: &str) -> Self {
+        let mut registry = Registry::with_prefix(prefix);
         let (admitted, released, left) = (Counter::default(), Counter::default(), Counter::default());
         let (tickets, honoured, unbooked, expired) = Default::default();
         let refused = Family::default();
@@ -85,11 +85,11 @@
 }
 
 impl Gate {
-    /// A door of an operator file.
-    pub fn new(config: DoorConfig) -> Self {
+    /// A door of an operator file, whose metrics' names begin with `prefix`.
+    pub fn new(config: DoorConfig, prefix: &str) -> Self {
         let queue = FairQueue::new(config.bounds(), config.limit(), config.weight, config.weights());
         let exempt = config.exempt();
-        Self { queue, config, exempt, waiting: AHashMap::new(), metrics: Metrics::new() }
+        Self { queue, config, exempt, waiting: AHashMap::new(), metrics: Metrics::new(prefix) }
     }
 
     /// Takes the file anew: other weights hold from the next round, and nothing that waits is lost. Bounds and
--- a/src/grpc/calls.rs
+++ b/src/grpc/calls.rs
@@ -50,6 +50,18 @@
     pub object: Option<u64>,
     /// `grpc-timeout`, in milliseconds.
     pub timeout_ms: Option<f64>,
+    /// When its head came: its time counts from there, also where it waited at the door.
+    pub since_ms: f64,
+}
+
+impl NewCall {
+    /// The time that it has, in milliseconds: the shorter of its client's, less the way back, and its route's.
+    /// Neither is ever stretched, over all attempts together.
+    pub fn allowed_ms(&self) -> f64 {
+        let own = |ms: f64| ms - MARGIN_MS.min(MARGIN_SHARE * ms);
+        let client = self.timeout_ms.map_or(f64::INFINITY, own);
+        client.min(self.route.deadline_ms.unwrap_or(f64::INFINITY))
+    }
 }
 
 /// What a call's driver does next.
@@ -154,7 +166,7 @@
     number: u32,
     member: MemberId,
     sent_ms: f64,
-    /// When this attempt is given up, for unary calls.
+    /// When this attempt is given up, for unary calls that may be repeated.
     due_ms: f64,
     committed_ms: Option<f64>,
 }
@@ -248,14 +260,10 @@
     /// Takes a call in. From now on it gets exactly one directive that ends it, unless its client leaves.
     pub fn begin(&mut self, now: f64, new: NewCall) -> (CallId, Directive) {
         self.next += 1;
-        let (id, route) = (self.next, new.route);
+        let (id, give_up_ms) = (self.next, new.since_ms + new.allowed_ms());
+        let NewCall { route, object, timeout_ms, .. } = new;
         let figures = &mut self.pools[route.pool].figures;
-        let own = |ms: f64| ms - MARGIN_MS.min(MARGIN_SHARE * ms);
-        let client = new.timeout_ms.unwrap_or(f64::INFINITY);
-        let most = route.deadline_ms.unwrap_or(f64::INFINITY);
-        figures.shortened += u64::from(most < client && client.is_finite());
-        // Neither is ever stretched: the shorter of the two holds, over all attempts together.
-        let allowed = if client <= most { own(client) } else { most };
+        figures.shortened += u64::from(timeout_ms.zip(route.deadline_ms).is_some_and(|(c, r)| r < c));
         if self.calls.len() >= self.bounds.calls {
             let answer = Answer {
                 code: Code::UNAVAILABLE,
@@ -266,8 +274,7 @@
             Self::count(figures, Outcome::Refused, answer.code);
             return (id, Directive::Answer(answer));
         }
-        let give_up_ms = now + allowed;
-        let object = new.object.unwrap_or_else(|| {
+        let object = object.unwrap_or_else(|| {
             // Spreads calls by themselves evenly: the module's hash takes it from there.
             self.seed.wrapping_add(id).wrapping_mul(0x9E37_79B9_7F4A_7C15)
         });
@@ -289,8 +296,8 @@
         (left >= 1.0 && self.takes(call.route.pool, out.member)).then_some(left)
     }
 
-    /// When the attempt under way is given up: for a unary call its own time-out until its response begins, else
-    /// the call's.
+    /// When the attempt under way is given up: for a unary call that may be repeated its own time-out until its
+    /// response begins, else the call's.
     pub fn due_ms(&self, id: CallId) -> f64 {
         let Some(call) = self.calls.get(&id) else { return f64::NEG_INFINITY };
         let own = call.out.as_ref().filter(|o| o.committed_ms.is_none()).map_or(f64::INFINITY, |o| o.due_ms);
@@ -416,6 +423,11 @@
             .map(|p| (p.name.as_str(), &p.figures, p.backends.values().filter(|b| b.live).count()))
     }
 
+    /// A pool's backends as last listed.
+    pub fn backends(&self, pool: usize) -> impl Iterator<Item = &Backend> {
+        self.pools.get(pool).into_iter().flat_map(|p| p.backends.values())
+    }
+
     /// How many backends of a pool get nothing new though they are live, by the module's evidence.
     pub fn avoided(&self, now: f64, pool: usize) -> usize {
         self.pools.get(pool).map_or(0, |p| p.router.avoided(micros(now)))
@@ -462,9 +474,10 @@
                     // The module names what its list has; guards a call against being held for ever.
                     return self.end_by_module(now, id, None);
                 };
-                let due_ms = match call.route.kind {
-                    Kind::Unary => now + timeout_ms,
-                    Kind::Stream => f64::INFINITY,
+                // Giving up early pays only where another attempt may follow.
+                let due_ms = match (call.route.kind, call.route.repeat) {
+                    (Kind::Unary, Repeat::Safe | Repeat::Keyed) => now + timeout_ms,
+                    _ => f64::INFINITY,
                 };
                 let attempt = call.attempts;
                 call.attempts += 1;
--- a/src/grpc/config.rs
+++ b/src/grpc/config.rs
@@ -3,6 +3,7 @@
 use super::calls::{Backend, Bounds, PoolSpec, BEHIND};
 use super::routes::{Affinity, Kind, Route, Routes};
 use super::status::Code;
+use crate::admission::config::DoorConfig;
 use crate::interface::{Class, ColdStart, KeyScope, Repeat, Settings};
 use crate::lifecycle::config::{address, read_json, ConfigError};
 use crate::memory::connections;
@@ -201,6 +202,12 @@
     /// Bounds.
     #[serde(default)]
     pub limits: Limits,
+    /// Fair queues ahead of unary calls, worded as the door's own file.
+    #[serde(default)]
+    pub door: Option<DoorConfig>,
+    /// The header whose number (0 to 255) is a call's tenant at the door; without it each route is a tenant.
+    #[serde(default)]
+    pub tenant_header: Option<String>,
     /// The pools.
     pub pools: Vec<PoolConfig>,
     /// The methods.
@@ -259,6 +266,12 @@
         ] {
             within(name, ms, low, 3_600_000.0)?;
         }
+        if let Some(door) = &self.door {
+            door.check().map_err(|(field, why)| ("door", format!("`{field}`: {why}")))?;
+        }
+        if self.tenant_header.as_ref().is_some_and(|n| http::HeaderName::from_bytes(n.as_bytes()).is_err()) {
+            return Err(("tenant_header", "no header's name".into()));
+        }
         if self.pools.is_empty() {
             return Err(("pools", "none".into()));
         }
--- /dev/null
+++ b/src/grpc/door.rs
@@ -0,0 +1,127 @@
+//! The front's own door: the fair queues of [`crate::admission`] ahead of its unary calls, by tenant and client.
+//! Streams do not go through it: they may last for hours, and a limit on what is under way would be theirs alone;
+//! the bounds of calls and of streams a client hold them.
+
+use super::calls::Outcome;
+use crate::admission::fair::Verdict;
+use crate::admission::gate::Gate;
+use crate::memory::requests::{Ask, Final};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::rc::Rc;
+use tokio::sync::{oneshot, Notify};
+
+/// The door, and the calls that wait at it.
+#[derive(Default)]
+pub struct CallDoor {
+    gate: RefCell<Option<Gate>>,
+    /// Where a waiting call hears that it is let in (none), or refused with a time to come back.
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Option<f64>>>>,
+    next: Cell<u64>,
+    /// Something waits whose time may be the next to be over.
+    pub due: Notify,
+}
+
+/// What the door says to a call.
+pub enum Entry {
+    /// It goes on; the pass is kept until its end.
+    In(Pass),
+    /// It waits.
+    Wait(oneshot::Receiver<Option<f64>>, Pass),
+    /// It is refused: the client is to come back after this many milliseconds.
+    Refused(f64),
+}
+
+/// An admitted or waiting call's hold on the door; given back when dropped.
+pub struct Pass {
+    door: Rc<CallDoor>,
+    id: Option<u64>,
+    now: Box<dyn Fn() -> f64>,
+    outcome: Cell<Option<Outcome>>,
+}
+
+impl CallDoor {
+    /// Puts fair queues at the door, or takes their file anew where they are there.
+    pub fn set(&self, gate: Option<Gate>) {
+        *self.gate.borrow_mut() = gate;
+    }
+
+    /// Lets the queues do something, where they are on.
+    pub fn with<R>(&self, act: impl FnOnce(&mut Gate) -> R) -> Option<R> {
+        self.gate.borrow_mut().as_mut().map(act)
+    }
+
+    /// A call comes; `give_up_ms` is when its time is over.
+    pub fn enter(
+        self: &Rc<Self>,
+        now: impl Fn() -> f64 + 'static,
+        client: IpAddr,
+        tenant: u32,
+        give_up_ms: f64,
+    ) -> Entry {
+        let id = self.next.get() + 1;
+        self.next.set(id);
+        let ask = Ask { id, group: tenant, give_up_ms, client: Some(client), ..Ask::default() };
+        let at = now();
+        let pass = |id| Pass { door: self.clone(), id, now: Box::new(now), outcome: Cell::new(None) };
+        match self.with(|gate| gate.arrive(at, ask)) {
+            None => Entry::In(pass(None)),
+            Some((Verdict::Admit, _)) => Entry::In(pass(Some(id))),
+            Some((Verdict::Queue, _)) => {
+                let (tell, heard) = oneshot::channel();
+                self.waiting.borrow_mut().insert(id, tell);
+                self.due.notify_one();
+                Entry::Wait(heard, pass(Some(id)))
+            }
+            Some((Verdict::Refuse { come_back_ms, .. }, _)) => Entry::Refused(come_back_ms),
+            // Its ids are the door's own: none comes twice.
+            Some((Verdict::Duplicate, _)) => Entry::Refused(0.0),
+        }
+    }
+
+    /// Refuses what waited until its time was nearly over.
+    pub fn tick(&self, now: f64) {
+        for (id, come_back_ms) in self.with(|gate| gate.expired(now)).unwrap_or_default() {
+            self.tell(id, Some(come_back_ms));
+        }
+    }
+
+    /// When [`Self::tick`] has something to do.
+    pub fn next_due(&self) -> f64 {
+        self.with(Gate::next_due).flatten().unwrap_or(f64::INFINITY)
+    }
+
+    fn tell(&self, id: u64, refused: Option<f64>) {
+        if let Some(call) = self.waiting.borrow_mut().remove(&id) {
+            // One that has just left needs no word.
+            let _ = call.send(refused);
+        }
+    }
+}
+
+impl Pass {
+    /// How the call ended: the door's limit moves by it.
+    pub fn ended(&self, outcome: Outcome) {
+        self.outcome.set(Some(outcome));
+    }
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        let Some(id) = self.id else { return };
+        let (now, door) = ((self.now)(), &self.door);
+        if door.waiting.borrow_mut().remove(&id).is_some() {
+            door.with(|gate| gate.left(id));
+            return;
+        }
+        let answer = match self.outcome.get() {
+            Some(Outcome::Served) => Some(Final::Served { tag: None, body: Default::default() }),
+            Some(Outcome::Refused) => Some(Final::Refused { wait_ms: 0.0, overdue: false }),
+            Some(Outcome::Failed) => Some(Final::Failed { overdue: false }),
+            _ => None,
+        };
+        let released = door.with(|gate| gate.ended(now, id, answer.as_ref())).unwrap_or_default();
+        released.into_iter().for_each(|ask| door.tell(ask.id, None));
+    }
+}
--- a/src/grpc/relay.rs
+++ b/src/grpc/relay.rs
@@ -2,7 +2,9 @@
 //! trailers back, each with the other side's flow control. What is done next is [`super::calls`]' word.
 
 use super::calls::{object, Answer, CallId, Directive, NewCall, Outcome, Start};
+use super::door::{Entry, Pass};
 use super::frames::{BadMessage, Tracker};
+use super::routes::Kind;
 use super::server::GrpcFront;
 use super::status::{message, Code, End, Pushback};
 use super::timeout;
@@ -14,6 +16,7 @@
 use h2::{Reason, RecvStream, SendStream};
 use http::{request, HeaderMap, HeaderName, HeaderValue, Method, Request, Response};
 use std::future::poll_fn;
+use std::net::IpAddr;
 use std::rc::Rc;
 
 const STATUS: &str = "grpc-status";
@@ -179,7 +182,7 @@
 }
 
 /// What a client's head asks for; else what it is told.
-fn asked(front: &GrpcFront, parts: &request::Parts) -> Result<NewCall, Answer> {
+fn asked(front: &GrpcFront, parts: &request::Parts, now: f64) -> Result<NewCall, Answer> {
     let path = parts.uri.path();
     let route = front.routes().find(path).cloned().map(Rc::new);
     let route = route.ok_or_else(|| refuse(Code::UNIMPLEMENTED, "no such method here"))?;
@@ -200,11 +203,16 @@
     }
     let header = |name: &str| parts.headers.get(name).map(|v| v.as_bytes().to_vec());
     let object = object(&route.affinity, path, header);
-    Ok(NewCall { route, object, timeout_ms })
+    Ok(NewCall { route, object, timeout_ms, since_ms: now })
 }
 
 /// Passes one call through, to its one end.
-pub async fn relay(front: Rc<GrpcFront>, request: Request<RecvStream>, mut respond: SendResponse<Bytes>) {
+pub async fn relay(
+    front: Rc<GrpcFront>,
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    client: IpAddr,
+) {
     let (parts, body) = request.into_parts();
     if parts.method != Method::POST || !is_grpc(&parts.headers) {
         // Not gRPC at all: told in plain HTTP.
@@ -216,17 +224,26 @@
     }
     let began = front.now();
     let mut down = Down::Head(respond);
-    let new = match asked(&front, &parts) {
+    let new = match asked(&front, &parts, began) {
         Ok(new) => new,
         Err(answer) => {
             front.unasked();
             return down.end(trailers(&answer));
         }
     };
+    let pass = match admitted(&front, &parts, &new, client, &mut down).await {
+        Admitted::In(pass) => pass,
+        Admitted::Left => return,
+        Admitted::Refused(ms) => {
+            let (code, pushback) = (Code::UNAVAILABLE, (ms > 0.0).then_some(Pushback::After(ms)));
+            let (message, outcome) = ("refused at the door", Outcome::Refused);
+            return down.end(trailers(&Answer { code, message, pushback, outcome }));
+        }
+    };
     front.sync();
     let tracker = || Tracker::new(front.limits().message_bytes);
     let mut up = Up { body, done: false, kept: Vec::new(), replayable: true, tracker: tracker() };
-    let (id, mut directive) = front.with(|calls| calls.begin(began, new));
+    let (id, mut directive) = front.with(|calls| calls.begin(front.now(), new));
     let guard = Leaving { front: &front, id };
     let mut last: Option<HeaderMap> = None;
     loop {
@@ -243,13 +260,15 @@
                     }
                 }
             }
-            Directive::Pass { come_back_ms, .. } => {
+            Directive::Pass { come_back_ms, outcome } => {
+                pass.iter().for_each(|pass| pass.ended(outcome));
                 let mut headers = last.take().unwrap_or_default();
                 push_back(&mut headers, come_back_ms.map(Pushback::After));
                 down.end(headers);
                 break;
             }
             Directive::Answer(answer) => {
+                pass.iter().for_each(|pass| pass.ended(answer.outcome));
                 down.end(trailers(&answer));
                 break;
             }
@@ -258,6 +277,43 @@
     std::mem::forget(guard);
 }
 
+/// What the door said in the end.
+enum Admitted {
+    /// It goes on; streams have no pass.
+    In(Option<Pass>),
+    Refused(f64),
+    Left,
+}
+
+/// Brings a unary call through the door.
+async fn admitted(
+    front: &Rc<GrpcFront>,
+    parts: &request::Parts,
+    new: &NewCall,
+    client: IpAddr,
+    down: &mut Down,
+) -> Admitted {
+    if new.route.kind != Kind::Unary {
+        return Admitted::In(None);
+    }
+    let number = |name: &str| parts.headers.get(name)?.to_str().ok()?.parse().ok();
+    let tenant = front.tenant(new.route.class, number);
+    let clock = front.host.clock.clone();
+    match front.door.enter(move || clock.now(), client, tenant, new.since_ms + new.allowed_ms()) {
+        Entry::In(pass) => Admitted::In(Some(pass)),
+        Entry::Refused(ms) => Admitted::Refused(ms),
+        Entry::Wait(heard, pass) => tokio::select! {
+            biased;
+            heard = heard => match heard {
+                Ok(None) => Admitted::In(Some(pass)),
+                Ok(Some(ms)) => Admitted::Refused(ms),
+                Err(_) => Admitted::Refused(0.0),
+            },
+            () = down.left() => Admitted::Left,
+        },
+    }
+}
+
 /// Guards against a panic, or a client that leaves, keeping the call open.
 struct Leaving<'a> {
     front: &'a GrpcFront,
--- a/src/grpc/routes.rs
+++ b/src/grpc/routes.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
-    /// One message each way: an attempt that does not answer in its time is given up.
+    /// One message each way: an attempt that does not answer in its time is given up, where it may be repeated.
     Unary,
     /// Any number of messages either way, or not known: an attempt has all the call's time.
     #[default]
--- a/src/grpc/server.rs
+++ b/src/grpc/server.rs
@@ -3,15 +3,19 @@
 
 use super::calls::{Backend, Calls};
 use super::config::{GrpcConfig, Limits};
+use super::door::CallDoor;
 use super::metrics::Metrics;
 use super::relay::relay;
 use super::routes::Routes;
 use super::upstream::Upstream;
+use crate::admission::gate::Gate;
 use crate::clock::span;
 use crate::engine::host::Host;
 use crate::wire::client::Stop;
+use crate::wire::http::{HttpAnswer, HttpRequest};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -36,6 +40,8 @@
     config: RefCell<GrpcConfig>,
     limits: Limits,
     metrics: RefCell<Metrics>,
+    /// Fair queues ahead of unary calls.
+    pub door: Rc<CallDoor>,
     /// The backends of each pool as last listed, by the pool's place.
     listed: RefCell<Vec<Vec<Backend>>>,
     roster_seen: Cell<u64>,
@@ -60,6 +66,7 @@
             limits: config.limits.clone(),
             config: RefCell::new(config),
             metrics: RefCell::default(),
+            door: Rc::default(),
             listed: RefCell::default(),
             roster_seen: Cell::new(u64::MAX),
             not_grpc: Cell::new(0),
@@ -69,6 +76,8 @@
             crowded: Notify::new(),
             host,
         });
+        let door = front.config.borrow().door.clone();
+        front.door.set(door.map(|door| Gate::new(door, "grpc_door")));
         front.list();
         Ok(front)
     }
@@ -103,6 +112,8 @@
             names.iter().map(|name| self.with(|calls| calls.pool(name)).unwrap_or(0)).collect::<Vec<_>>();
         routes.renumber(|pool| places[pool]);
         *self.routes.borrow_mut() = Rc::new(routes);
+        // Weights and exempt networks of the door hold from its next round; its bounds need a new process.
+        fresh.door.clone().map(|door| self.door.with(|gate| gate.retune(door)));
         *self.config.borrow_mut() = fresh;
         self.list();
         Ok(())
@@ -149,7 +160,47 @@
         let text = self.metrics.borrow_mut().text(self.now(), &calls, self.upstream.len());
         let (other, unasked) = (self.not_grpc.get(), self.unasked.get());
         let text = text.trim_end().trim_end_matches("# EOF").to_string();
-        text + &format!("grpc_not_grpc_total {other}\ngrpc_unrouted_total {unasked}\n# EOF\n")
+        let own = format!("grpc_not_grpc_total {other}\ngrpc_unrouted_total {unasked}\n# EOF\n");
+        text + &own + &self.door.with(Gate::figures).unwrap_or_default()
+    }
+
+    /// The front's state for the second address, `GET /grpc`.
+    pub fn answer(&self, request: &HttpRequest) -> Option<HttpAnswer> {
+        if request.target != "/grpc" {
+            return None;
+        }
+        if request.method != "GET" {
+            return Some(HttpAnswer::status(405).with("Allow", "GET"));
+        }
+        let calls = self.calls.borrow();
+        let pools = calls.figures().enumerate().map(|(place, (name, f, live))| PoolStatus {
+            name: name.to_string(),
+            live,
+            avoided: calls.avoided(self.now(), place),
+            backends: calls
+                .backends(place)
+                .map(|b| BackendStatus { address: b.address, live: b.live })
+                .collect(),
+            served: f.outcomes[0],
+            refused: f.outcomes[1],
+            failed: f.outcomes[2],
+            left: f.outcomes[3],
+            attempts: f.attempts,
+        });
+        let status = Status { open: calls.open(), connections: self.upstream.len(), pools: pools.collect() };
+        let body = simd_json::to_vec(&status).unwrap_or_default();
+        Some(
+            HttpAnswer { body: body.into(), ..HttpAnswer::status(200) }
+                .with("Content-Type", "application/json"),
+        )
+    }
+
+    /// A call's tenant at the door, by its header or its route.
+    pub fn tenant(&self, class: usize, header: impl Fn(&str) -> Option<u32>) -> u32 {
+        match &self.config.borrow().tenant_header {
+            Some(name) => header(name).filter(|n| *n <= 255).unwrap_or(0),
+            None => class as u32,
+        }
     }
 
     /// A request came that is not gRPC.
@@ -183,6 +234,33 @@
     }
 }
 
+/// The front's state, in words for people.
+#[derive(serde::Serialize)]
+struct Status {
+    open: usize,
+    connections: usize,
+    pools: Vec<PoolStatus>,
+}
+
+#[derive(serde::Serialize)]
+struct PoolStatus {
+    name: String,
+    live: usize,
+    avoided: usize,
+    backends: Vec<BackendStatus>,
+    served: u64,
+    refused: u64,
+    failed: u64,
+    left: u64,
+    attempts: u64,
+}
+
+#[derive(serde::Serialize)]
+struct BackendStatus {
+    address: SocketAddr,
+    live: bool,
+}
+
 /// Keeps the front's housekeeping.
 pub async fn keep(front: Rc<GrpcFront>) {
     loop {
@@ -192,6 +270,17 @@
     }
 }
 
+/// Refuses, at once, what waited at the door and whose time is over.
+pub async fn keep_door(front: Rc<GrpcFront>) {
+    loop {
+        let left = front.door.next_due() - front.now();
+        tokio::select! {
+            () = tokio::time::sleep(span(left)) => front.door.tick(front.now()),
+            () = front.door.due.notified() => {}
+        }
+    }
+}
+
 /// Ends what is still under way some time after the stop has begun.
 pub async fn cut_at_stop(front: Rc<GrpcFront>, stop: Rc<Stop>) {
     stop.begun().await;
@@ -224,13 +313,13 @@
             () = closing.notified() => return,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 front.host.with(|engine| engine.counters.clients += 1);
                 let (own, stop) = (front.clone(), stop.clone());
                 let open = stop.enter();
                 front.host.spawn("a gRPC client's connection", async move {
                     let (_open, _place) = (open, place);
-                    if let Err(error) = serve(&own, stream, &stop).await {
+                    if let Err(error) = serve(&own, stream, peer.ip(), &stop).await {
                         tracing::debug!(%error, "gRPC: a client's connection ended");
                     }
                 });
@@ -254,7 +343,12 @@
     }
 }
 
-async fn serve(front: &Rc<GrpcFront>, stream: TcpStream, stop: &Rc<Stop>) -> Result<(), h2::Error> {
+async fn serve(
+    front: &Rc<GrpcFront>,
+    stream: TcpStream,
+    peer: IpAddr,
+    stop: &Rc<Stop>,
+) -> Result<(), h2::Error> {
     let _ = stream.set_nodelay(true);
     let l = &front.limits;
     let mut builder = h2::server::Builder::new();
@@ -284,7 +378,7 @@
                     let own = front.clone();
                     front.host.spawn("a gRPC call", async move {
                         let _call = call;
-                        relay(own, request, respond).await;
+                        relay(own, request, respond, peer).await;
                     });
                     // As soon as there is another call, the connection is looked at anew.
                 }
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -112,7 +112,7 @@
     let seed = config.seed().map_err(|why| ServeError::Field("seed", why))?;
     let host = Host::new(clock, engine);
     if let Some(door) = door.clone() {
-        host.set_gate(Gate::new(door));
+        host.set_gate(Gate::new(door, "door"));
     }
     let await_signal = |kind| signal(kind).map_err(|e| ServeError::System("signals".into(), e));
     let mut terminate = await_signal(SignalKind::terminate())?;
@@ -136,6 +136,16 @@
         tracing::info!(at = registry.address, "members come from the registry");
         host.spawn("the registry", registry_driver::keep(host.clone(), registry, link, seed));
     }
+    let grpc = match grpc {
+        None => None,
+        Some(config) => {
+            let front = GrpcFront::new(host.clone(), config.clone(), seed);
+            let front = front.map_err(|why| ServeError::Field("routes", why))?;
+            let figures = front.clone();
+            host.add_figures(Box::new(move || figures.figures()));
+            Some((front, config))
+        }
+    };
     if purges.is_some() && mgmt.is_none() {
         return Err(ServeError::Field(
             "mgmt",
@@ -161,6 +171,10 @@
         if let Some(link) = link.clone() {
             manage = manage.with_calls(Box::new(move |_, call| registry_driver::answer(&link, call)), 0);
         }
+        if let Some((front, _)) = &grpc {
+            let front = front.clone();
+            manage = manage.with_calls(Box::new(move |_, call| front.answer(call)), 0);
+        }
         let front: Rc<dyn Front> = Rc::new(manage);
         let listener = bind(mgmt).await?;
         // It is open until the very end, so no stop counts its callers.
@@ -192,23 +206,21 @@
         });
         tracing::info!(%listen, "signed links are served");
     }
-    let (third, passing) = (Rc::new(Notify::new()), grpc.is_some());
-    let mut grpc_front = None;
-    if let Some(grpc) = grpc {
-        let listen = grpc.at();
-        let front = GrpcFront::new(host.clone(), grpc.clone(), seed);
-        let front = front.map_err(|why| ServeError::Field("routes", why))?;
+    let third = Rc::new(Notify::new());
+    if let Some((front, config)) = &grpc {
+        let listen = config.at();
         let listener = bind(listen).await?;
         host.spawn("accepting", grpc::accept(front.clone(), listener, stop.clone(), third.clone()));
-        host.spawn("the stop of calls", grpc::cut_at_stop(front.clone(), stop.clone()));
-        let figures = front.clone();
-        host.add_figures(Box::new(move || figures.figures()));
         always(&host, "gRPC's housekeeping", {
             let front = front.clone();
             move || grpc::keep(front.clone())
         });
+        always(&host, "gRPC's door", {
+            let front = front.clone();
+            move || grpc::keep_door(front.clone())
+        });
+        host.spawn("the stop of calls", grpc::cut_at_stop(front.clone(), stop.clone()));
         tracing::info!(%listen, "gRPC calls are passed through");
-        grpc_front = Some((front, grpc));
     }
     always(&host, "keeping time", {
         let host = host.clone();
@@ -236,7 +248,7 @@
                 if let Some(door) = &door {
                     read_door_again(&host, door);
                 }
-                if let Some((front, config)) = &grpc_front {
+                if let Some((front, config)) = &grpc {
                     match config.again().map_err(|e| e.to_string()).and_then(|fresh| front.retune(fresh)) {
                         Ok(()) => tracing::info!(file = %config.path.display(), "gRPC's file read again"),
                         Err(why) => tracing::warn!(%why, "gRPC's old file stays"),
@@ -254,17 +266,13 @@
         stop.turn_away();
         closing.notify_one();
         second.notify_one();
-        if passing {
-            third.notify_one();
-        }
+        third.notify_one();
         tokio::time::sleep(span(KEEP_IDLE_MS)).await;
     } else {
         tokio::time::sleep(span(ACCEPT_ON_MS)).await;
         closing.notify_one();
         second.notify_one();
-        if passing {
-            third.notify_one();
-        }
+        third.notify_one();
     }
     stop.begin();
     // A moment for connections that the machine had accepted and this process not yet.
--- a/src/main.rs
+++ b/src/main.rs
@@ -30,6 +30,7 @@
     Serve(Serve),
     Version(Version),
     Check(Check),
+    GrpcRoute(GrpcRoute),
     Purge(Purge),
 }
 
@@ -92,6 +93,18 @@
     grpc: Option<PathBuf>,
 }
 
+/// Say what the table of gRPC methods holds for a path.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "grpc-route")]
+struct GrpcRoute {
+    /// the file of gRPC pass-through
+    #[argh(option)]
+    grpc: PathBuf,
+    /// the path, `/Service/Method`
+    #[argh(positional)]
+    path: String,
+}
+
 /// Issue fleet purges and see how far they got.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "purge")]
@@ -285,6 +298,20 @@
             );
             return served.map_err(|e| e.to_string());
         }
+        Command::GrpcRoute(asked) => {
+            let config = GrpcConfig::read(&asked.grpc).map_err(|e| e.to_string())?;
+            let (routes, pools) = config.compile()?;
+            let route = routes.find(&asked.path).ok_or(format!("{:?}: no line of the table", asked.path))?;
+            let deadline = route.deadline_ms.map_or("the client's".into(), |ms| format!("{ms} ms"));
+            println!(
+                "pool {}  kind {:?}  repeat {:?}  deadline {deadline}  affinity {:?}  retry {}",
+                pools[route.pool].name,
+                route.kind,
+                route.repeat,
+                route.affinity,
+                route.retry.iter().map(|code| code.name()).collect::<Vec<_>>().join(",")
+            );
+        }
         Command::Purge(command) => purge(command.command)?,
     }
     Ok(())
--- /dev/null
+++ b/tests/grpc_calls.rs
@@ -0,0 +1,281 @@
+//! The decisions of gRPC pass-through without a socket: random calls, ends, lists and departures by fixed seeds, and
+//! what must hold whatever comes.
+
+use calicobeam::grpc::calls::{Backend, Bounds, CallId, Calls, Directive, NewCall, Outcome, Start};
+use calicobeam::grpc::config::GrpcConfig;
+use calicobeam::grpc::routes::{Kind, Route};
+use calicobeam::grpc::status::{Code, End, Pushback};
+use calicobeam::Repeat;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+fn config() -> (Calls, Vec<Rc<Route>>) {
+    let routes = [("safe", ""), ("never", ""), ("keyed", r#","key":"x-key","key_window_ms":900"#)];
+    let routes = routes.iter().flat_map(|(repeat, more)| {
+        ["unary", "stream"].map(|kind| {
+            format!(
+                r#"{{"method":"/t.{repeat}/{kind}","pool":"p","kind":"{kind}","repeat":"{repeat}"{more},"deadline_ms":3000}}"#
+            )
+        })
+    });
+    let text = format!(
+        r#"{{"listen":"127.0.0.1:1","pools":[{{"name":"p","backends":[{{"address":"127.0.0.1:2"}}]}}],"routes":[{}]}}"#,
+        routes.collect::<Vec<_>>().join(",")
+    );
+    let file = std::env::temp_dir().join(format!(
+        "calicobeam-calls-{}-{:?}.json",
+        std::process::id(),
+        std::thread::current().id()
+    ));
+    std::fs::write(&file, text).unwrap();
+    let config = GrpcConfig::read(&file).unwrap();
+    let _ = std::fs::remove_file(&file);
+    let (routes, pools) = config.compile().unwrap();
+    let bounds = Bounds { calls: 40, replay_total: 5_000 };
+    (Calls::new(pools, bounds, 9), routes.all().iter().cloned().map(Rc::new).collect())
+}
+
+fn backends(live: &[bool]) -> Vec<Backend> {
+    let backend = |(k, live): (usize, &bool)| Backend {
+        id: k as u32,
+        address: format!("127.0.0.{}:7000", k + 1).parse().unwrap(),
+        live: *live,
+        weight: 1.0,
+    };
+    live.iter().enumerate().map(backend).collect()
+}
+
+struct Open {
+    route: Rc<Route>,
+    start: Start,
+    began: f64,
+    allowed: f64,
+    committed: bool,
+    may_have_run: bool,
+    attempts: u32,
+    replayable: bool,
+}
+
+/// A random day. Returns the outcomes by kind, so that a day that never does something is seen.
+fn day(seed: u64) -> HashMap<String, u32> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let (mut calls, routes) = config();
+    let mut live = vec![true; 4];
+    let mut now = 1e6;
+    calls.list(now, 0, &backends(&live));
+    let mut open: HashMap<CallId, Open> = HashMap::new();
+    let (mut begun, mut ended, mut left, mut seen) = (0u64, 0u64, 0u64, HashMap::<String, u32>::new());
+    for step in 0..4_000 {
+        now += rng.random_range(0.0..20.0);
+        let ids: Vec<CallId> = open.keys().copied().collect();
+        let some = (!ids.is_empty()).then(|| ids[rng.random_range(0..ids.len())]);
+        // What a directive means for a call: another attempt, or its one end.
+        let mut follow =
+            |open: &mut HashMap<CallId, Open>, id, mut call: Open, directive, live: &[bool], over: bool| {
+                match directive {
+                    Directive::Start(start) => {
+                        assert!(!call.committed, "a committed call was sent again");
+                        assert!(live[start.member as usize], "a drained backend was named");
+                        assert!(
+                            call.route.repeat != Repeat::Unsafe || !call.may_have_run,
+                            "what may have run was sent again"
+                        );
+                        assert!(call.replayable, "a request that was not kept was sent again");
+                        assert!(!over, "an attempt after the call's time");
+                        assert_eq!(start.attempt, call.attempts, "attempts are numbered in order");
+                        call.attempts += 1;
+                        assert!(call.attempts <= 3, "more attempts than the pool allows");
+                        call.start = start;
+                        open.insert(id, call);
+                        false
+                    }
+                    Directive::Pass { outcome, .. } => {
+                        *seen.entry(format!("pass {outcome:?}")).or_default() += 1;
+                        true
+                    }
+                    Directive::Answer(answer) => {
+                        assert_ne!(answer.code, Code::OK, "an answer of the proxy's own is never OK");
+                        let unsafe_ran = call.route.repeat == Repeat::Unsafe && call.may_have_run;
+                        assert!(
+                            !unsafe_ran || answer.outcome != Outcome::Refused,
+                            "what may have run was called refused: {answer:?}"
+                        );
+                        *seen.entry(format!("answer {:?}", answer.outcome)).or_default() += 1;
+                        true
+                    }
+                }
+            };
+        match rng.random_range(0..10) {
+            0..=3 if step < 3_600 => {
+                let route = routes[rng.random_range(0..routes.len())].clone();
+                let timeout_ms = (rng.random_range(0..3) > 0).then(|| rng.random_range(1.0..4_000.0));
+                let new = NewCall { route: route.clone(), object: None, timeout_ms, since_ms: now };
+                let allowed = new.allowed_ms();
+                assert!(
+                    allowed <= 3_000.0 && timeout_ms.is_none_or(|t| allowed <= t),
+                    "a deadline was stretched"
+                );
+                let (id, directive) = calls.begin(now, new);
+                begun += 1;
+                let start = Start { attempt: 0, member: 0, address: "127.0.0.1:1".parse().unwrap() };
+                let (committed, may_have_run, attempts, replayable) = (false, false, 0, true);
+                let call =
+                    Open { route, start, began: now, allowed, committed, may_have_run, attempts, replayable };
+                ended += u64::from(follow(&mut open, id, call, directive, &live, false));
+            }
+            4 => {
+                let k = rng.random_range(0..live.len());
+                live[k] = !live[k];
+                calls.list(now, 0, &backends(&live));
+            }
+            5 => {
+                let Some(id) = some.filter(|_| rng.random_range(0..3) == 0) else { continue };
+                open.remove(&id);
+                calls.left(now, id);
+                left += 1;
+            }
+            6 => {
+                let Some(id) = some else { continue };
+                let call = open.get_mut(&id).unwrap();
+                let most = 800;
+                call.replayable &= calls.keep(id, rng.random_range(1..500), most);
+                assert!(calls.kept_bytes() <= 5_000, "more is kept than the bound");
+            }
+            7 => {
+                let Some(id) = some else { continue };
+                let call = open.get_mut(&id).unwrap();
+                call.committed = true;
+                calls.committed(now, id);
+            }
+            _ => {
+                let Some(id) = some else { continue };
+                let mut call = open.remove(&id).unwrap();
+                let may_start = calls.may_start(now, id);
+                if let Some(left) = may_start {
+                    assert!(live[call.start.member as usize], "an attempt may start at a drained backend");
+                    assert!(left <= call.began + call.allowed - now + 1e-6, "more time than the call has");
+                }
+                let over = now >= call.began + call.allowed;
+                let ends = [
+                    End::Status(Code::of(rng.random_range(0..17)), None),
+                    End::Status(Code::OK, None),
+                    End::Status(Code::UNAVAILABLE, Some(Pushback::After(100.0))),
+                    End::Http(503),
+                    End::Reset(2),
+                    End::Unprocessed,
+                    End::NoConnection { local: false },
+                    End::Stale,
+                    End::Broken,
+                    End::Cut,
+                    End::Spoilt,
+                    End::TimedOut,
+                ];
+                let mut end = ends[rng.random_range(0..ends.len())];
+                if call.committed && matches!(end, End::Stale | End::NoConnection { .. } | End::Unprocessed) {
+                    end = End::Broken;
+                }
+                if over {
+                    end = End::TimedOut;
+                }
+                let never = matches!(end, End::Stale | End::NoConnection { .. } | End::Unprocessed);
+                call.may_have_run |= !never;
+                let directive = calls.ended(now, id, end);
+                if call.committed {
+                    assert!(!matches!(directive, Directive::Start(_)), "a committed call goes on: {end:?}");
+                }
+                if end == End::Status(Code::OK, None) {
+                    let served = Directive::Pass { outcome: Outcome::Served, come_back_ms: None };
+                    assert_eq!(directive, served);
+                }
+                ended += u64::from(follow(&mut open, id, call, directive, &live, over));
+            }
+        }
+        assert_eq!(calls.open(), open.len(), "each call is open until its one end");
+    }
+    assert_eq!(begun, ended + left + open.len() as u64, "each call ends once");
+    for (id, _) in open {
+        calls.left(now, id);
+    }
+    assert_eq!((calls.open(), calls.kept_bytes()), (0, 0), "nothing stays behind");
+    let (_, figures, _) = calls.figures().next().unwrap();
+    assert_eq!(figures.outcomes.iter().sum::<u64>(), begun, "each call is counted once");
+    seen
+}
+
+#[test]
+fn random_days_keep_the_rules_of_calls() {
+    let mut all = HashMap::<String, u32>::new();
+    for seed in 0..20 {
+        day(seed).into_iter().for_each(|(what, n)| *all.entry(what).or_default() += n);
+    }
+    for what in ["pass Served", "pass Refused", "pass Failed", "answer Refused", "answer Failed"] {
+        assert!(all.get(what).is_some_and(|n| *n > 20), "{what}: {all:?}");
+    }
+}
+
+#[test]
+fn a_stream_is_judged_by_its_beginning_and_an_attempt_by_its_own_time() {
+    let (mut calls, routes) = config();
+    calls.list(0.0, 0, &backends(&[true, true]));
+    let route = |kind, repeat| routes.iter().find(|r| r.kind == kind && r.repeat == repeat).unwrap().clone();
+    let new = |route: Rc<Route>| NewCall { route, object: Some(7), timeout_ms: Some(2_000.0), since_ms: 0.0 };
+    // A unary attempt is given up before the call is; a stream's is not.
+    let (unary, _) = calls.begin(0.0, new(route(Kind::Unary, Repeat::Safe)));
+    let (stream, _) = calls.begin(0.0, new(route(Kind::Stream, Repeat::Safe)));
+    assert!(calls.due_ms(unary) < 1_900.0, "{}", calls.due_ms(unary));
+    assert_eq!(calls.due_ms(stream), 1_960.0, "the client's time, less the way back");
+    calls.committed(50.0, unary);
+    assert_eq!(calls.due_ms(unary), 1_960.0, "once its response has begun it has the call's time");
+    // Long streams leave their backends in good standing: none of the later ones goes elsewhere.
+    for n in 0..50 {
+        let now = f64::from(n) * 10_000.0;
+        let new = NewCall { timeout_ms: None, since_ms: now, ..new(route(Kind::Stream, Repeat::Safe)) };
+        let (id, directive) = calls.begin(now, new);
+        let Directive::Start(start) = directive else { panic!("{directive:?}") };
+        calls.committed(now + 5.0, id);
+        let end = calls.ended(now + 2_900.0, id, End::Status(Code::OK, None));
+        assert!(matches!(end, Directive::Pass { outcome: Outcome::Served, .. }));
+        assert_eq!((start.attempt, calls.avoided(now, 0)), (0, 0), "stream {n}");
+    }
+}
+
+#[test]
+fn files_that_cannot_work_are_refused_with_the_field() {
+    let check = |text: &str| {
+        let file = std::env::temp_dir().join(format!("calicobeam-grpc-bad-{}.json", std::process::id()));
+        std::fs::write(&file, text).unwrap();
+        GrpcConfig::read(&file).map(|_| ()).map_err(|e| e.to_string())
+    };
+    let file = |pool: &str, route: &str, more: &str| {
+        format!(
+            r#"{{"listen":"127.0.0.1:5443"{more},"pools":[{{"name":"p",{pool}}}],"routes":[{{"pool":"p",{route}}}]}}"#
+        )
+    };
+    let (pool, route) = (r#""backends":[{"address":"127.0.0.1:2"}]"#, r#""method":"/a.B/C""#);
+    assert_eq!(check(&file(pool, route, "")), Ok(()));
+    for (text, word) in [
+        (file(r#""backends":[]"#, route, ""), "either `backends` or `roster`"),
+        (
+            file(r#""backends":[{"address":"127.0.0.1:2"},{"address":"127.0.0.1:2"}]"#, route, ""),
+            "comes twice",
+        ),
+        (file(r#""backends":[{"address":"127.0.0.1:2","weight":0}]"#, route, ""), "weight"),
+        (file(r#""backends":[{"address":"example:2"}]"#, route, ""), "pools"),
+        (file(pool, r#""method":"a.B/C""#, ""), "`/Service/Method`"),
+        (file(pool, r#""method":"/a.B/C","kind":"unary""#, ""), "deadline_ms"),
+        (file(pool, r#""method":"/a.B/C","repeat":"keyed""#, ""), "`key`"),
+        (file(pool, r#""method":"/a.B/C","retry":["BUSY"]"#, ""), "`retry`"),
+        (file(pool, r#""method":"/a.B/C","retry":["OK"]"#, ""), "`retry`"),
+        (file(pool, r#""method":"/a.B/C","affinity":"cookie""#, ""), "`affinity`"),
+        (file(pool, r#""method":"/a.B/C","aim_ms":0"#, ""), "`aim_ms`"),
+        (file(pool, r#""method":"/a.B/C","shape":"unary""#, ""), "shape"),
+        (file(pool, route, r#","limits":{"header_bytes":10}"#), "header_bytes"),
+        (file(pool, route, r#","door":{"limit":{"first":1,"least":2,"most":3}}"#), "door"),
+        (file(pool, route, r#","tenant_header":"a b""#), "tenant_header"),
+    ] {
+        let why = check(&text).expect_err(&text);
+        assert!(why.contains(word), "{why} does not name {word}");
+    }
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -415,3 +415,13 @@
 pub async fn ask(at: SocketAddr, method: &str, target: &str, headers: &str) -> Answer {
     Client::connect(at).await.ask(method, target, headers).await
 }
+
+/// A process that ends with its test.
+pub struct Killed(pub std::process::Child);
+
+impl Drop for Killed {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
