--- /dev/null
+++ b/examples/grpc_load.rs
@@ -0,0 +1,236 @@
+//! gRPC pass-through measured on loopback, in one run: the same calls at a stand-in server directly and through the
+//! proxy process, turn by turn, so that both see the same machine. Bounded in count; ends by itself.
+//!
+//!     cargo build --release && cargo run --release --example grpc_load -- [ROUNDS]
+//!
+//! Unary calls: a lone caller, then 32, one call after another each. Ping-pong: 16 bidirectional streams, each message sent when the
+//! one before is back. Flood: 4 server streams of 1,000-byte messages, as fast as they are taken.
+
+#[path = "../tests/stand_ins/grpc.rs"]
+mod grpc;
+
+use grpc::{finish, msg, Caller, GrpcBox};
+use hdrhistogram::Histogram;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+use tokio::task::{spawn_local, LocalSet};
+
+const UNARY: usize = 20_000;
+const CALLERS: usize = 32;
+/// Calls of the lone caller.
+const ALONE: usize = 4_000;
+const STREAMS: usize = 16;
+const PINGS: usize = 500;
+const FLOODS: usize = 4;
+const FLOOD: usize = 10_000;
+
+struct Running(std::process::Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap()
+}
+
+/// Times in microseconds, and what failed.
+struct Seen {
+    times: Histogram<u64>,
+    failed: u64,
+    took: Duration,
+}
+
+async fn unary(at: SocketAddr, callers: usize, calls: usize) -> Seen {
+    let times = Rc::new(RefCell::new((Histogram::new(3).unwrap(), 0)));
+    let start = Instant::now();
+    let callers: Vec<_> = (0..callers)
+        .map(|_| {
+            let times = times.clone();
+            spawn_local(async move {
+                let caller = Caller::connect(at).await;
+                for _ in 0..calls / callers {
+                    let got = caller.call("/b.Bench/Unary", &[], msg(64)).await;
+                    let mut times = times.borrow_mut();
+                    times.0.record((got.took_ms * 1_000.0) as u64).unwrap();
+                    times.1 += u64::from(got.status() != 0);
+                }
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.await.unwrap();
+    }
+    let seen = times.borrow();
+    Seen { times: seen.0.clone(), failed: seen.1, took: start.elapsed() }
+}
+
+async fn ping_pong(at: SocketAddr) -> Seen {
+    let times = Rc::new(RefCell::new((Histogram::new(3).unwrap(), 0)));
+    let start = Instant::now();
+    let streams: Vec<_> = (0..STREAMS)
+        .map(|_| {
+            let times = times.clone();
+            spawn_local(async move {
+                let caller = Caller::connect(at).await;
+                let (response, mut stream) =
+                    caller.begin("/b.Bench/Chat", &[("x-act", "echo")]).await.unwrap();
+                let ping = msg(64);
+                stream.send_data(ping.clone().into(), false).unwrap();
+                let mut sent = Instant::now();
+                let mut body = response.await.unwrap().into_body();
+                let (mut have, mut back) = (0, 0);
+                while back < PINGS {
+                    let Some(Ok(chunk)) = body.data().await else {
+                        times.borrow_mut().1 += 1;
+                        return;
+                    };
+                    let _ = body.flow_control().release_capacity(chunk.len());
+                    have += chunk.len();
+                    if have == ping.len() {
+                        times.borrow_mut().0.record(sent.elapsed().as_micros() as u64).unwrap();
+                        (have, back) = (0, back + 1);
+                        let last = back == PINGS;
+                        let next = if last { Default::default() } else { ping.clone().into() };
+                        stream.send_data(next, last).unwrap();
+                        sent = Instant::now();
+                    }
+                }
+                let status = match body.data().await {
+                    None => body.trailers().await.ok().flatten(),
+                    Some(_) => None,
+                };
+                let ok = status.is_some_and(|t| t.get("grpc-status").is_some_and(|v| v == "0"));
+                times.borrow_mut().1 += u64::from(!ok);
+            })
+        })
+        .collect();
+    for stream in streams {
+        stream.await.unwrap();
+    }
+    let seen = times.borrow();
+    Seen { times: seen.0.clone(), failed: seen.1, took: start.elapsed() }
+}
+
+/// Megabytes a second, and how many streams failed.
+async fn flood(at: SocketAddr) -> (f64, u64) {
+    let start = Instant::now();
+    let streams: Vec<_> = (0..FLOODS)
+        .map(|_| {
+            spawn_local(async move {
+                let caller = Caller::connect(at).await;
+                let act = format!("read head flood:{FLOOD} status:0");
+                let (response, mut stream) =
+                    caller.begin("/b.Bench/Watch", &[("x-act", &act)]).await.unwrap();
+                stream.send_data(msg(1).into(), true).unwrap();
+                let got = finish(response).await;
+                (got.body.len(), u64::from(got.status() != 0))
+            })
+        })
+        .collect();
+    let (mut bytes, mut failed) = (0, 0);
+    for stream in streams {
+        let (b, f) = stream.await.unwrap();
+        (bytes, failed) = (bytes + b, failed + f);
+    }
+    (bytes as f64 / 1e6 / start.elapsed().as_secs_f64(), failed)
+}
+
+fn main() {
+    let rounds: usize = std::env::args().nth(1).and_then(|s| s.parse().ok()).unwrap_or(3);
+    let program =
+        PathBuf::from(std::env::var("CALICOBEAM").unwrap_or_else(|_| "target/release/calicobeam".into()));
+    // The stand-in server has a thread of its own.
+    let (tell, told) = mpsc::channel();
+    std::thread::spawn(move || {
+        LocalSet::new().block_on(&runtime(), async {
+            let server = GrpcBox::start("127.0.93.1:0").await;
+            tell.send(server.address).unwrap();
+            loop {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                server.calls.borrow_mut().shrink_to_fit();
+            }
+        });
+    });
+    let server: SocketAddr = told.recv().unwrap();
+    let dir = std::env::temp_dir().join(format!("calicobeam-grpc-load-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let free = || std::net::TcpListener::bind("127.0.93.9:0").unwrap().local_addr().unwrap();
+    let (listen, edge) = (free(), free());
+    let text = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json")).unwrap();
+    std::fs::write(dir.join("config.json"), text.replace("127.0.0.1:5050", &listen.to_string())).unwrap();
+    let file = format!(
+        r#"{{"listen":"{edge}","pools":[{{"name":"b","backends":[{{"address":"{server}"}}]}}],"routes":[
+            {{"method":"/b.Bench/Unary","pool":"b","kind":"unary","repeat":"safe","deadline_ms":5000}},
+            {{"method":"/b.Bench/*","pool":"b"}}]}}"#
+    );
+    std::fs::write(dir.join("grpc.json"), file).unwrap();
+    let mut command = Command::new(&program);
+    command
+        .arg("serve")
+        .arg("--config")
+        .arg(dir.join("config.json"))
+        .arg("--grpc")
+        .arg(dir.join("grpc.json"));
+    let _proxy = Running(command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap());
+    while std::net::TcpStream::connect(edge).is_err() {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    LocalSet::new().block_on(&runtime(), async {
+        println!("| what | way | calls or messages a second | p50 us | p99 us | failed |");
+        println!("| --- | --- | ---: | ---: | ---: | ---: |");
+        let ways = [("direct", server), ("proxy", edge)];
+        let mut all: Vec<(Seen, Seen, Seen)> = Vec::new();
+        let mut floods = Vec::new();
+        for (_, at) in ways {
+            // A first turn warms both up and is not counted.
+            unary(at, CALLERS, UNARY).await;
+        }
+        for round in 0..rounds {
+            for (k, (_, at)) in ways.iter().enumerate() {
+                let one = unary(*at, 1, ALONE).await;
+                let (u, p, f) = (unary(*at, CALLERS, UNARY).await, ping_pong(*at).await, flood(*at).await);
+                if round == 0 {
+                    all.push((one, u, p));
+                    floods.push((f.0, f.1, 1.0));
+                } else {
+                    let (alone, unary, ping) = &mut all[k];
+                    for (sum, new) in [(alone, one), (unary, u), (ping, p)] {
+                        sum.times.add(&new.times).unwrap();
+                        sum.failed += new.failed;
+                        sum.took += new.took;
+                    }
+                    floods[k] = (floods[k].0 + f.0, floods[k].1 + f.1, floods[k].2 + 1.0);
+                }
+            }
+        }
+        for (k, (name, _)) in ways.iter().enumerate() {
+            let (alone, unary, ping) = &all[k];
+            let rows =
+                [("unary, 1 caller", alone), ("unary, 32 callers", unary), ("ping-pong, 16 streams", ping)];
+            for (what, seen) in rows {
+                println!(
+                    "| {what} | {name} | {:.0} | {} | {} | {} |",
+                    seen.times.len() as f64 / seen.took.as_secs_f64(),
+                    seen.times.value_at_quantile(0.5),
+                    seen.times.value_at_quantile(0.99),
+                    seen.failed
+                );
+            }
+            println!(
+                "| flood, 4 streams | {name} | {:.0} MB/s | | | {} |",
+                floods[k].0 / floods[k].2,
+                floods[k].1
+            );
+        }
+    });
+    let _ = std::fs::remove_dir_all(&dir);
+}
