VRRP in service: virtual addresses open and close with the state, tracked priority, sealed adverts

Need: a change of state was only logged; nothing served by it, takeover was not measured, two masters not tested.

Change: src/vrrp. Without I/O: the machine (moving priority, fault, preemption delay, hold while flapping, how many missed adverts count as down), sealed adverts (HMAC-SHA256, numbers that only grow, keys that rotate), what is tracked (caches, door, refusals, registry, a gRPC pool, a file) with times to turn bad and good, and the listeners' decisions (try again, stand aside). With I/O: the router's task, SO_REUSEPORT listeners for every front, GET /vrrp, POST /vrrp/aside and /back, calicobeam vrrp. SIGHUP reads priority, keys and tracks again.

--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -105,6 +105,11 @@
         &self.queue
     }
 
+    /// The share of the queue that is full.
+    pub fn fullness(&self) -> f64 {
+        self.queue.queued() as f64 / self.config.queue_most.max(1) as f64
+    }
+
     /// A request comes to the door. One that is queued is held here until it is let in or refused.
     pub fn arrive(&mut self, now_ms: f64, ask: Ask) -> (Verdict, Option<Ask>) {
         let exempt = ask.client.is_none_or(|ip| self.exempt.covers(ip));
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -280,6 +280,19 @@
         &self.maintenance
     }
 
+    /// The share of this location's caches that take new work and that the module does not leave for their failures;
+    /// none where it has none.
+    pub fn pool_share(&self) -> Option<f64> {
+        let mine = |t: &&Target| {
+            self.env.listing(&t.row).is_ok_and(|line| line.role == crate::Role::Cache)
+                && t.row.lifecycle != "dead"
+        };
+        let mine: Vec<&Target> = self.roster.all_listed().filter(mine).collect();
+        let able = mine.iter().filter(|t| self.roster.address(t.row.cache).is_some()).count();
+        let avoided = self.router.avoided(micros(self.clock.now()));
+        (!mine.is_empty()).then(|| able.saturating_sub(avoided) as f64 / mine.len() as f64)
+    }
+
     /// The figures that the platform reads.
     pub fn figures(&mut self) -> String {
         for name in (0..).map_while(|k| self.env.class_name(k)) {
--- a/src/grpc/server.rs
+++ b/src/grpc/server.rs
@@ -164,6 +164,15 @@
         text + &own + &self.door.with(Gate::figures).unwrap_or_default()
     }
 
+    /// The share of a pool's backends that take calls and that the module does not leave; none for no such pool.
+    pub fn usable(&self, pool: &str) -> Option<f64> {
+        let (now, calls) = (self.now(), self.calls.borrow());
+        let place = calls.pool(pool)?;
+        let (all, live) =
+            calls.backends(place).fold((0, 0), |(all, live), b| (all + 1, live + usize::from(b.live)));
+        Some(live.saturating_sub(calls.avoided(now, place)) as f64 / all.max(1) as f64)
+    }
+
     /// The front's state for the second address, `GET /grpc`.
     pub fn answer(&self, request: &HttpRequest) -> Option<HttpAnswer> {
         if request.target != "/grpc" {
@@ -291,26 +300,34 @@
 /// Accepts clients until `closing`.
 pub async fn accept(front: Rc<GrpcFront>, listener: TcpListener, stop: Rc<Stop>, closing: Rc<Notify>) {
     let places = std::sync::Arc::new(Semaphore::new(front.limits.clients));
+    let mut last = false;
     loop {
         let place = match places.clone().try_acquire_owned() {
             Ok(place) => place,
             Err(_) => {
                 // Above the cap one newcomer waits here, the others in the machine's queue.
                 front.crowded.notify_one();
-                tokio::select! {
-                    place = places.clone().acquire_owned() => match place {
-                        Ok(place) => place,
-                        Err(_) => return,
-                    },
-                    () = tokio::time::sleep(Duration::from_millis(ACCEPT_AGAIN_MS)) => continue,
-                    () = closing.notified() => return,
-                }
+                let _ = timeout(Duration::from_millis(ACCEPT_AGAIN_MS), closing.notified())
+                    .await
+                    .map(|()| last = true);
+                continue;
             }
         };
-        let accepted = tokio::select! {
-            biased;
-            accepted = listener.accept() => accepted,
-            () = closing.notified() => return,
+        let accepted = if last {
+            // What the machine had accepted before the stop counts as taken.
+            match timeout(Duration::from_millis(1), listener.accept()).await {
+                Ok(accepted) => accepted,
+                Err(_) => return,
+            }
+        } else {
+            tokio::select! {
+                biased;
+                () = closing.notified() => {
+                    last = true;
+                    continue;
+                }
+                accepted = listener.accept() => accepted,
+            }
         };
         match accepted {
             Ok((stream, peer)) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod purge;
 pub mod registry;
 pub mod settings;
+pub mod vrrp;
 pub mod wire;
 
 pub use interface::*;
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -16,11 +16,14 @@
 use crate::purge::{driver, wire::CALL_MOST};
 use crate::registry::config::RegistryConfig;
 use crate::registry::driver::{self as registry_driver, Link};
+use crate::vrrp::config::{FrontKind, VrrpConfig};
+use crate::vrrp::driver::{self as vrrp, host_value};
+use crate::vrrp::track::{Rate, What};
 use crate::wire::bulletin;
 use crate::wire::client::{accept, Front, Stop};
 use crate::wire::manage::Manage;
 use crate::wire::platform::{self, Platform};
-use crate::wire::vrrp;
+use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -60,7 +63,7 @@
     /// The second front, signed URLs.
     pub front: Option<FrontConfig>,
     /// A virtual router.
-    pub router: Option<vrrp::Settings>,
+    pub router: Option<VrrpConfig>,
     /// Fleet purges.
     pub purges: Option<PurgeConfig>,
     /// Fair queues at the door.
@@ -125,12 +128,17 @@
         Some(listener) => listener,
         None => bind(listen).await?,
     };
-    let connections = config.limits.sockets * 2 / 5;
+    let virtual_address =
+        router.as_ref().is_some_and(|r| r.serve.iter().any(|s| s.front == FrontKind::Platform));
+    // A virtual address's listener has half of the clients' descriptors.
+    let connections = config.limits.sockets * 2 / if virtual_address { 10 } else { 5 };
     let platform: Rc<dyn Front> = Rc::new(Platform::new(platform::limits(connections)));
+    let fronts = Fronts::default();
+    fronts.borrow_mut().push((FrontKind::Platform, platform.clone()));
     let (stop, closing) = (Rc::new(Stop::default()), Rc::new(Notify::new()));
     host.spawn("accepting", accept(host.clone(), platform, listener, stop.clone(), closing.clone()));
     let mgmt = config.mgmt().map_err(|why| ServeError::Field("mgmt", why))?;
-    let link = registry.as_ref().map(|_| Rc::new(std::cell::RefCell::new(Link::default())));
+    let link = registry.as_ref().map(|_| Rc::new(RefCell::new(Link::default())));
     if let (Some(registry), Some(link)) = (registry, link.clone()) {
         host.with(|engine| engine.take_roster_from_registry());
         tracing::info!(at = registry.address, "members come from the registry");
@@ -146,6 +154,22 @@
             Some((front, config))
         }
     };
+    let router = match router {
+        None => None,
+        Some(set) => {
+            let pools: Vec<String> =
+                grpc.iter().flat_map(|(_, g)| g.pools.iter().map(|p| p.name.clone())).collect();
+            set.check_with(front.is_some(), &pools, door.is_some(), link.is_some())
+                .map_err(|why| ServeError::Field("vrrp", why))?;
+            let accept = accept_virtual(&host, &fronts, grpc.as_ref().map(|(front, _)| front.clone()));
+            let ask = tracked(&host, link.clone(), grpc.as_ref().map(|(front, _)| front.clone()));
+            let router = vrrp::Router::new(host.clone(), set.clone(), accept, ask);
+            let router = router.map_err(|why| ServeError::Field("key_file", why))?;
+            let figures = router.clone();
+            host.add_figures(Box::new(move || figures.metrics()));
+            Some((router, set))
+        }
+    };
     if purges.is_some() && mgmt.is_none() {
         return Err(ServeError::Field(
             "mgmt",
@@ -175,6 +199,10 @@
             let front = front.clone();
             manage = manage.with_calls(Box::new(move |_, call| front.answer(call)), 0);
         }
+        if let Some((router, _)) = &router {
+            let router = router.clone();
+            manage = manage.with_calls(Box::new(move |_, call| router.answer(call)), 0);
+        }
         let front: Rc<dyn Front> = Rc::new(manage);
         let listener = bind(mgmt).await?;
         // It is open until the very end, so no stop counts its callers.
@@ -199,6 +227,7 @@
         let signed = front.front(host.clock.now().to_bits() ^ seed);
         let signed = Rc::new(signed.map_err(|why| ServeError::Field("keys", why))?);
         let listener = bind(listen).await?;
+        fronts.borrow_mut().push((FrontKind::Signed, signed.clone()));
         host.spawn("accepting", accept(host.clone(), signed.clone(), listener, stop.clone(), second.clone()));
         always(&host, "keeping keys", {
             let (host, reload) = (host.clone(), reload.clone());
@@ -231,10 +260,11 @@
         move || bulletin::keep(host.clone(), moves.clone())
     });
     let router_stop = Rc::new(Notify::new());
-    if let Some(set) = router {
-        let socket = UdpSocket::bind(set.listen).await;
-        let socket = socket.map_err(|e| ServeError::System(format!("listen on {}", set.listen), e))?;
-        host.spawn("the virtual router", vrrp::run(host.clone(), set, socket, router_stop.clone()));
+    if let Some((router, set)) = &router {
+        let listen = set.router().listen;
+        let socket = UdpSocket::bind(listen).await;
+        let socket = socket.map_err(|e| ServeError::System(format!("listen on {listen}"), e))?;
+        host.spawn("the virtual router", vrrp::run(router.clone(), socket, router_stop.clone()));
     }
     tracing::info!("{} serves on {listen}", config.name);
     loop {
@@ -248,6 +278,12 @@
                 if let Some(door) = &door {
                     read_door_again(&host, door);
                 }
+                if let Some((router, config)) = &router {
+                    match config.again().map_err(|e| e.to_string()).and_then(|fresh| router.retune(fresh)) {
+                        Ok(()) => tracing::info!(file = %config.path.display(), "the virtual router's file read again"),
+                        Err(why) => tracing::warn!(%why, "the virtual router's old file stays"),
+                    }
+                }
                 if let Some((front, config)) = &grpc {
                     match config.again().map_err(|e| e.to_string()).and_then(|fresh| front.retune(fresh)) {
                         Ok(()) => tracing::info!(file = %config.path.display(), "gRPC's file read again"),
@@ -274,16 +310,50 @@
         second.notify_one();
         third.notify_one();
     }
+    if let Some((router, _)) = &router {
+        router.close_all();
+    }
     stop.begin();
+    let busy = || router.as_ref().map_or(0, |(router, _)| router.busy()) + stop.open.get();
     // A moment for connections that the machine had accepted and this process not yet.
     tokio::time::sleep(span(4.0 * STOP_LOOK_MS)).await;
-    while (stop.open.get() > 0 || host.with(|engine| engine.owed()) > 0) && host.clock.now() < until {
+    while (busy() > 0 || host.with(|engine| engine.owed()) > 0) && host.clock.now() < until {
         tokio::time::sleep(span(STOP_LOOK_MS)).await;
     }
     print_counters(&host);
     Ok(())
 }
 
+/// The fronts that are on, for virtual addresses.
+type Fronts = Rc<RefCell<Vec<(FrontKind, Rc<dyn Front>)>>>;
+
+/// How a virtual address's listener is served, by the fronts that are on.
+fn accept_virtual(host: &Rc<Host>, fronts: &Fronts, grpc: Option<Rc<GrpcFront>>) -> vrrp::Accept {
+    let (host, fronts) = (host.clone(), fronts.clone());
+    Box::new(move |kind, listener, stop, closing| {
+        if let (FrontKind::Grpc, Some(front)) = (kind, &grpc) {
+            return host.spawn("accepting", grpc::accept(front.clone(), listener, stop, closing));
+        }
+        let front = fronts.borrow().iter().find(|(k, _)| *k == kind).map(|(_, front)| front.clone());
+        if let Some(front) = front {
+            host.spawn("accepting", accept(host.clone(), front, listener, stop, closing));
+        }
+    })
+}
+
+/// The numbers of what a virtual router tracks.
+fn tracked(host: &Rc<Host>, link: Option<Rc<RefCell<Link>>>, grpc: Option<Rc<GrpcFront>>) -> vrrp::Ask {
+    let (host, rate) = (host.clone(), RefCell::new(Rate::default()));
+    Box::new(move |what| match what {
+        What::Registry => {
+            let answered = link.as_ref()?.borrow().answered_ms;
+            Some(host.clock.now() - answered).filter(|_| answered > 0.0)
+        }
+        What::Grpc(pool) => grpc.as_ref()?.usable(pool),
+        what => host_value(&host, &rate, what),
+    })
+}
+
 /// Reads the configuration again, takes its settings and moves the bulletin's link where it says another address.
 /// Guards a running proxy against a file that can't be used: all stays as it was.
 pub fn read_again(host: &Rc<Host>, config: &Config, bulletin: &watch::Sender<SocketAddr>) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use calicobeam::admission::config::DoorConfig;
 use calicobeam::grpc::config::GrpcConfig;
-use calicobeam::lifecycle::config::{read_json, Config, ConfigError};
+use calicobeam::lifecycle::config::Config;
 use calicobeam::lifecycle::front::FrontConfig;
 use calicobeam::lifecycle::serve::{self, Extras};
 use calicobeam::purge::config::PurgeConfig;
@@ -11,7 +11,7 @@
 use calicobeam::purge::selector::Selector;
 use calicobeam::purge::wire::{call, from_json, Fault, Submit};
 use calicobeam::registry::config::RegistryConfig;
-use calicobeam::wire::vrrp;
+use calicobeam::vrrp::config::VrrpConfig;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -31,6 +31,7 @@
     Version(Version),
     Check(Check),
     GrpcRoute(GrpcRoute),
+    Vrrp(Vrrp),
     Purge(Purge),
 }
 
@@ -105,6 +106,18 @@
     path: String,
 }
 
+/// See how a proxy's virtual router stands, have it stand aside, or take it back into service.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "vrrp")]
+struct Vrrp {
+    /// what to do: `status`, `aside` or `back`
+    #[argh(positional)]
+    what: String,
+    /// the proxy's second address
+    #[argh(option)]
+    at: SocketAddr,
+}
+
 /// Issue fleet purges and see how far they got.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "purge")]
@@ -177,11 +190,8 @@
     path.map(read).transpose()
 }
 
-fn read_vrrp(path: Option<PathBuf>) -> Result<Option<vrrp::Settings>, String> {
-    let Some(path) = path else { return Ok(None) };
-    let set: vrrp::Settings = read_json(&path).map_err(|e| e.to_string())?;
-    set.check().map_err(|(field, why)| ConfigError::Field { path, field, why }.to_string())?;
-    Ok(Some(set))
+fn read_vrrp(path: Option<PathBuf>) -> Result<Option<VrrpConfig>, String> {
+    path.map(|path| VrrpConfig::read(&path).map_err(|e| e.to_string())).transpose()
 }
 
 fn read_registry(path: Option<PathBuf>) -> Result<Option<RegistryConfig>, String> {
@@ -312,6 +322,15 @@
                 route.retry.iter().map(|code| code.name()).collect::<Vec<_>>().join(",")
             );
         }
+        Command::Vrrp(command) => {
+            let (method, path) = match command.what.as_str() {
+                "status" => ("GET", "/vrrp"),
+                "aside" => ("POST", "/vrrp/aside"),
+                "back" => ("POST", "/vrrp/back"),
+                other => return Err(format!("{other:?} is neither `status`, `aside` nor `back`")),
+            };
+            println!("{}", ask(command.at, method, path, b"")?);
+        }
         Command::Purge(command) => purge(command.command)?,
     }
     Ok(())
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -11,7 +11,6 @@
 pub mod manage;
 pub mod platform;
 pub mod signed;
-pub mod vrrp;
 
 use thiserror::Error;
 
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -26,6 +26,7 @@
 pub mod purge_box;
 pub mod registry;
 pub mod slow_box;
+pub mod vrrp_peer;
 
 /// The time at which every test begins.
 pub const START_MS: f64 = 1_764_576_000_000.0;
--- a/tests/stand_ins/slow_box.rs
+++ b/tests/stand_ins/slow_box.rs
@@ -4,7 +4,7 @@
 #![allow(dead_code)]
 
 use std::cell::RefCell;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +17,8 @@
 pub struct SlowFleet {
     pub addresses: Vec<SocketAddr>,
     pub seen: Rc<RefCell<HashSet<String>>>,
+    /// How often each idempotency key came.
+    pub keys: Rc<RefCell<HashMap<String, u32>>>,
     /// Which box each request reached, and when, in Unix milliseconds.
     pub arrivals: Rc<RefCell<Vec<(usize, f64)>>>,
 }
@@ -32,29 +34,30 @@
         let slots = Rc::new(Semaphore::new(slots));
         let seen: Rc<RefCell<HashSet<String>>> = Rc::default();
         let arrivals: Rc<RefCell<Vec<(usize, f64)>>> = Rc::default();
+        let keys: Rc<RefCell<HashMap<String, u32>>> = Rc::default();
         let mut addresses = Vec::new();
         for k in 0..boxes {
             let listener = TcpListener::bind(format!("127.0.{net}.{}:0", k + 1)).await.unwrap();
             addresses.push(listener.local_addr().unwrap());
-            let (slots, seen, arrivals) = (slots.clone(), seen.clone(), arrivals.clone());
+            let (slots, seen, arrivals, keys) = (slots.clone(), seen.clone(), arrivals.clone(), keys.clone());
             spawn_local(async move {
                 while let Ok((stream, _)) = listener.accept().await {
                     let (slots, seen, arrivals) = (slots.clone(), seen.clone(), arrivals.clone());
-                    spawn_local(serve(stream, slots, seen, (k, arrivals), work_ms));
+                    spawn_local(serve(stream, slots, seen, (k, arrivals, keys.clone()), work_ms));
                 }
             });
         }
-        Self { addresses, seen, arrivals }
+        Self { addresses, seen, arrivals, keys }
     }
 }
 
-type Arrivals = (usize, Rc<RefCell<Vec<(usize, f64)>>>);
+type Arrivals = (usize, Rc<RefCell<Vec<(usize, f64)>>>, Rc<RefCell<HashMap<String, u32>>>);
 
 async fn serve(
     stream: TcpStream,
     slots: Rc<Semaphore>,
     seen: Rc<RefCell<HashSet<String>>>,
-    (me, arrivals): Arrivals,
+    (me, arrivals, keys): Arrivals,
     work_ms: u64,
 ) {
     let (read, write) = stream.into_split();
@@ -73,6 +76,9 @@
         }
         seen.borrow_mut().insert(words[1].clone());
         arrivals.borrow_mut().push((me, unix_ms()));
+        if let Some(key) = words[2].split(',').find_map(|field| field.strip_prefix("i=")) {
+            *keys.borrow_mut().entry(key.to_string()).or_default() += 1;
+        }
         let (slots, write, id) = (slots.clone(), write.clone(), words[1].clone());
         spawn_local(async move {
             let Ok(_slot) = slots.acquire().await else { return };
--- a/tests/vrrp.rs
+++ b/tests/vrrp.rs
@@ -1,16 +1,10 @@
-//! VRRP: its messages, its state machine against a model, and two proxies on loopback.
+//! VRRP: its messages, and its state machine against a model.
 
-mod stand_ins;
-
-use calicobeam::wire::vrrp::{run as run_router, Advertisement, BadMessage, Machine, Settings, State, OWNER};
+use calicobeam::vrrp::machine::{Machine, Settings, State};
+use calicobeam::vrrp::message::{Advertisement, BadMessage, OWNER};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use stand_ins::{run, until, Site};
 use std::net::{Ipv4Addr, SocketAddr};
-use std::rc::Rc;
-use tokio::net::UdpSocket;
-use tokio::sync::Notify;
-use tokio::task::spawn_local;
 
 fn at(host: u8) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, host], 5_100))
@@ -18,7 +12,7 @@
 
 fn settings(host: u8, priority: u8, preempt: bool) -> Settings {
     let (listen, peers, addresses) = (at(host), vec![at(9)], vec![Ipv4Addr::new(127, 1, 0, 1)]);
-    Settings { listen, peers, vrid: 7, priority, interval_cs: 100, preempt, addresses }
+    Settings { preempt, ..Settings::new(listen, peers, 7, priority, addresses) }
 }
 
 fn ad(priority: u8, interval_cs: u16) -> Advertisement {
@@ -126,7 +120,7 @@
                 }
                 2 | 3 => {
                     let due = match model.state {
-                        State::Initialize => false,
+                        State::Initialize | State::Fault => false,
                         State::Backup => now >= model.down_at,
                         State::Active => now >= model.send_at,
                     };
@@ -139,7 +133,7 @@
                 _ => {
                     let wins = theirs > priority || (theirs == priority && host > 3);
                     match model.state {
-                        State::Initialize => {}
+                        State::Initialize | State::Fault => {}
                         State::Backup if theirs == 0 => model.down_at = now + skew(interval),
                         State::Backup if preempt && theirs < priority => {}
                         State::Active if theirs == 0 || !wins => {
@@ -157,7 +151,7 @@
             prop_assert_eq!(got.map(|ad| ad.priority), sent);
             prop_assert_eq!(machine.state(), model.state);
             let due = match model.state {
-                State::Initialize => f64::INFINITY,
+                State::Initialize | State::Fault => f64::INFINITY,
                 State::Backup => model.down_at,
                 State::Active => model.send_at,
             };
@@ -172,28 +166,3 @@
         }
     }
 }
-
-/// Two proxies on loopback: the higher becomes active, and hands over at once when it stops.
-#[test]
-fn the_state_is_handed_over_on_a_stop() {
-    run(async {
-        let site = Site::start("vrrp").await;
-        let sockets =
-            [UdpSocket::bind("127.0.0.1:0").await.unwrap(), UdpSocket::bind("127.0.0.1:0").await.unwrap()];
-        let at: Vec<SocketAddr> = sockets.iter().map(|s| s.local_addr().unwrap()).collect();
-        let stops = [Rc::new(Notify::new()), Rc::new(Notify::new())];
-        for (k, socket) in sockets.into_iter().enumerate() {
-            let (listen, peers) = (at[k], vec![at[1 - k]]);
-            let set = Settings { listen, peers, ..settings(1, [OWNER, 100][k], true) };
-            spawn_local(run_router(site.host.clone(), set, socket, stops[k].clone()));
-        }
-        let changes = || site.host.with(|e| e.counters.vrrp_changes);
-        until(|| changes() == 2 && site.host.with(|e| e.counters.vrrp_received) > 0).await;
-        stops[0].notify_one();
-        until(|| site.host.with(|e| e.counters.vrrp_received) >= 2).await;
-        assert_eq!(changes(), 3, "the backup waits for its skew");
-        site.pass(700.0);
-        // The timer of the backup's task runs by real time; a message makes it look at the clock.
-        until(|| changes() == 4).await;
-    });
-}
--- /dev/null
+++ b/tests/vrrp_service.rs
@@ -0,0 +1,457 @@
+//! VRRP in the program itself: two proxy processes that share a virtual address on loopback, a relay between their
+//! routers that loses or parts their advertisements, a stand-in peer, and a load at the address. Where two proxies
+//! are active at once both listen there (SO_REUSEPORT), as two hosts may that both claim an address.
+
+mod stand_ins;
+
+use base64::Engine as _;
+use calicobeam::vrrp::auth::{Keys, Seals};
+use calicobeam::vrrp::machine::{Machine, Settings, State};
+use calicobeam::vrrp::message::Advertisement;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use simd_json::prelude::*;
+use stand_ins::slow_box::{unix_ms, SlowFleet};
+use stand_ins::vrrp_peer::{ask, Ended, Load, Relay};
+use stand_ins::{folder, run, Killed};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+
+const PATIENCE: Duration = Duration::from_millis(4_000);
+
+fn free(ip: &str) -> SocketAddr {
+    std::net::TcpListener::bind(format!("{ip}:0")).unwrap().local_addr().unwrap()
+}
+
+fn free_udp(ip: &str) -> SocketAddr {
+    std::net::UdpSocket::bind(format!("{ip}:0")).unwrap().local_addr().unwrap()
+}
+
+struct Proxy {
+    process: Killed,
+    mgmt: SocketAddr,
+    dir: PathBuf,
+}
+
+/// Starts a proxy whose router listens at `router` and has `peer`; `more` are further fields of its file.
+fn start(
+    name: &str,
+    fleet: &SlowFleet,
+    router: SocketAddr,
+    peer: SocketAddr,
+    virt: SocketAddr,
+    more: &str,
+) -> Proxy {
+    let dir = folder(name);
+    let ip = router.ip().to_string();
+    let (listen, mgmt) = (free(&ip), free(&ip));
+    let mut text =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json")).unwrap();
+    for (k, at) in (7101..=7104).enumerate() {
+        text = text.replace(&format!("127.0.0.1:{at}"), &fleet.addresses[k].to_string());
+    }
+    let addresses = format!("\"listen\": \"{listen}\",\n  \"mgmt\": \"{mgmt}\",");
+    std::fs::write(dir.join("config.json"), text.replace("\"listen\": \"127.0.0.1:5050\",", &addresses))
+        .unwrap();
+    vrrp_file(&dir, router, peer, virt, more);
+    let log = std::fs::File::create(dir.join("proxy.log")).unwrap();
+    let (config, file) = (dir.join("config.json"), dir.join("vrrp.json"));
+    let args = ["serve", "--config", config.to_str().unwrap(), "--vrrp", file.to_str().unwrap()];
+    let child = Command::new(env!("CARGO_BIN_EXE_calicobeam")).args(args).stderr(Stdio::from(log)).spawn();
+    Proxy { process: Killed(child.unwrap()), mgmt, dir }
+}
+
+fn vrrp_file(dir: &Path, router: SocketAddr, peer: SocketAddr, virt: SocketAddr, more: &str) {
+    let text = format!(
+        r#"{{"listen":"{router}","peers":["{peer}"],"vrid":7,"addresses":["{}"],
+            "serve":[{{"address":"{virt}","front":"platform"}}],{more}}}"#,
+        virt.ip()
+    );
+    std::fs::write(dir.join("vrrp.json"), text).unwrap();
+}
+
+impl Proxy {
+    async fn call(&self, method: &str, path: &str) -> Option<simd_json::OwnedValue> {
+        let within = Duration::from_secs(1);
+        let mut body = calicobeam::purge::wire::call(self.mgmt, method, path, b"", within).await.ok()?.body;
+        simd_json::to_owned_value(&mut body).ok()
+    }
+
+    async fn status(&self) -> simd_json::OwnedValue {
+        for _ in 0..500 {
+            if let Some(status) = self.call("GET", "/vrrp").await {
+                return status;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("no answer at the second address");
+    }
+
+    async fn figure(&self, name: &str) -> u64 {
+        self.status().await["figures"][name].as_u64().unwrap()
+    }
+
+    /// Waits until the state is this, or not this.
+    async fn until(&self, state: &str, is: bool) {
+        let end = Instant::now() + Duration::from_secs(8);
+        while (self.status().await["state"].as_str() == Some(state)) != is {
+            assert!(Instant::now() < end, "{state} {is}: {:?}", self.status().await);
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.process.0.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+}
+
+/// Two proxies, the first the better one, with a relay between their routers.
+async fn pair(net: u8, name: &str, more: [&str; 2]) -> (SlowFleet, Relay, [Proxy; 2], SocketAddr) {
+    let fleet = SlowFleet::start(net, 4, 256, 4).await;
+    let ip = format!("127.0.{net}.10");
+    let virt = free(&format!("127.1.{net}.1"));
+    let routers = [free_udp(&ip), free_udp(&ip)];
+    let relay = Relay::start(&format!("127.0.{net}.20"), routers, 11).await;
+    let proxies =
+        [0, 1].map(|k| start(&format!("{name}-{k}"), &fleet, routers[k], relay.sides[k], virt, more[k]));
+    proxies[0].until("active", true).await;
+    proxies[1].until("backup", true).await;
+    (fleet, relay, proxies, virt)
+}
+
+/// Every request had one whole answer, and it was served.
+fn all_served(what: &str, ended: &[(u64, bool, Ended)]) {
+    assert!(ended.len() > 50, "{what}: only {} requests", ended.len());
+    let lost: Vec<_> = ended.iter().filter(|(_, _, e)| e.status != Some(200) || e.spoilt).collect();
+    assert!(
+        lost.is_empty(),
+        "{what}: {} of {} requests: {:?}",
+        lost.len(),
+        ended.len(),
+        &lost[..lost.len().min(5)]
+    );
+}
+
+/// Ad-posts that reached the boxes more often than once, of those that their callers asked once.
+fn doubled(fleet: &SlowFleet, ended: &[(u64, bool, Ended)]) -> usize {
+    let keys = fleet.keys.borrow();
+    let twice = |id: u64| keys.get(&format!("k{id:x}")).copied().unwrap_or(0) > 1;
+    ended.iter().filter(|(id, write, e)| *write && e.asked_again == 0 && twice(*id)).count()
+}
+
+#[test]
+fn a_killed_master_is_replaced_within_three_seconds_and_no_request_is_lost() {
+    run(async {
+        let more = [100, 90].map(|p| format!(r#""priority":{p},"interval_cs":20,"down_intervals":8"#));
+        let (fleet, _relay, mut proxies, virt) = pair(94, "vrrp-kill", [&more[0], &more[1]]).await;
+        let load = Load::start(virt, 8, PATIENCE);
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let killed = Instant::now();
+        proxies[0].process.0.kill().unwrap();
+        proxies[1].until("active", true).await;
+        assert!(killed.elapsed() < Duration::from_secs(3), "took over after {:?}", killed.elapsed());
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let ended = load.stop().await;
+        all_served("killed", &ended);
+        let first = ended.iter().filter(|(_, _, e)| e.began < killed && e.ended < killed).count();
+        let after = ended.iter().filter(|(_, _, e)| e.began > killed).count();
+        assert!(first > 20 && after > 20, "load before and after: {first}, {after}");
+        assert_eq!(doubled(&fleet, &ended), 0, "an ad-post was sent twice");
+        // One that its caller asked again carried the same key, by which the boxes drop it.
+        assert!(fleet.keys.borrow().keys().all(|k| k.starts_with('k')));
+    });
+}
+
+#[test]
+fn two_masters_at_once_answer_each_request_once_and_one_gives_way() {
+    run(async {
+        let more = [100, 90].map(|p| format!(r#""priority":{p},"interval_cs":10"#));
+        let (fleet, relay, proxies, virt) = pair(95, "vrrp-split", [&more[0], &more[1]]).await;
+        let load = Load::start(virt, 8, PATIENCE);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        relay.loss.set(1.0);
+        proxies[1].until("active", true).await;
+        let split = load.ended.borrow().len();
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        assert_eq!(proxies[0].status().await["state"].as_str(), Some("active"), "both are active");
+        assert!(load.ended.borrow().len() > split + 50, "requests went on under two masters");
+        relay.loss.set(0.0);
+        proxies[1].until("backup", true).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let ended = load.stop().await;
+        all_served("split", &ended);
+        assert_eq!(doubled(&fleet, &ended), 0, "an ad-post was sent twice");
+        assert_eq!(proxies[0].status().await["state"].as_str(), Some("active"), "the better one stays");
+        assert!(
+            proxies[0].figure("splits").await + proxies[1].figure("splits").await > 0,
+            "the split was noticed"
+        );
+        // Both really served: each has clients of its own.
+        let mut served = Vec::new();
+        for proxy in &proxies {
+            let within = Duration::from_secs(1);
+            let stats =
+                calicobeam::purge::wire::call(proxy.mgmt, "GET", "/stats", b"", within).await.unwrap();
+            let text = String::from_utf8_lossy(&stats.body).to_string();
+            let ok = text
+                .lines()
+                .filter(|l| l.starts_with("app_ok_total"))
+                .filter_map(|l| l.split(' ').nth(1)?.parse::<u64>().ok());
+            served.push(ok.sum::<u64>());
+        }
+        assert!(served.iter().all(|n| *n > 10), "served by each: {served:?}");
+    });
+}
+
+/// The first one's priority falls and rises every 200 ms by a file that it tracks; with one missed advertisement
+/// enough, the address really changes hands each time.
+#[test]
+fn a_priority_that_flaps_sends_no_ad_post_twice_and_damping_holds_it() {
+    run(async {
+        let switch = folder("vrrp-flap-switch").join("low");
+        let track = format!(
+            r#""track":[{{"what":{{"file":"{}"}},"above":0,"lower_by":80,"after_ms":0,"back_ms":0}}]"#,
+            switch.display()
+        );
+        let first = format!(r#""priority":120,"interval_cs":5,"down_intervals":1,{track}"#);
+        let second = r#""priority":100,"interval_cs":5,"down_intervals":1"#;
+        let (fleet, _relay, proxies, virt) = pair(96, "vrrp-flap", [&first, second]).await;
+        let load = Load::start(virt, 8, PATIENCE);
+        for k in 0..16 {
+            if k % 2 == 0 {
+                std::fs::write(&switch, "").unwrap();
+            } else {
+                std::fs::remove_file(&switch).unwrap();
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        let changes = proxies[1].figure("became_active").await;
+        assert!(changes >= 4, "the address changed hands {changes} times only");
+        let ended = load.stop().await;
+        all_served("flapping", &ended);
+        assert_eq!(doubled(&fleet, &ended), 0, "an ad-post was sent twice");
+        // With damping and tracked things that must stay bad for a while, the same flapping changes nothing.
+        let calm = first.replace("\"after_ms\":0,\"back_ms\":0", "\"after_ms\":500,\"back_ms\":2000");
+        let router = proxies[0].status().await;
+        assert!(router["priority"].as_u64().is_some());
+        let file = std::fs::read_to_string(proxies[0].dir.join("vrrp.json")).unwrap();
+        std::fs::write(proxies[0].dir.join("vrrp.json"), file.replace(&first, &calm)).unwrap();
+        proxies[0].signal("-HUP");
+        proxies[0].until("active", true).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let before = proxies[1].figure("became_active").await;
+        for k in 0..10 {
+            if k % 2 == 0 {
+                std::fs::write(&switch, "").unwrap();
+            } else {
+                std::fs::remove_file(&switch).unwrap();
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        assert_eq!(proxies[1].figure("became_active").await, before, "the flapping went through");
+    });
+}
+
+#[test]
+fn lost_advertisements_do_not_move_the_address() {
+    run(async {
+        let more = [100, 90].map(|p| format!(r#""priority":{p},"interval_cs":10,"down_intervals":8"#));
+        let (_fleet, relay, proxies, virt) = pair(97, "vrrp-loss", [&more[0], &more[1]]).await;
+        relay.loss.set(0.2);
+        let load = Load::start(virt, 4, PATIENCE);
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        all_served("lossy", &load.stop().await);
+        assert!(
+            relay.lost.get() > 3 && relay.passed.get() > 30,
+            "{} lost of {}",
+            relay.lost.get(),
+            relay.passed.get()
+        );
+        assert_eq!((proxies[0].figure("gave_up").await, proxies[1].figure("became_active").await), (0, 0));
+    });
+}
+
+/// A day of advertisements of which a fifth is lost, on two machines without sockets: how often the backup takes over
+/// from one that is well.
+#[test]
+fn a_day_of_lost_advertisements_by_how_many_may_be_missed() {
+    let day = |down_intervals: u8| {
+        let at = |host: u8| SocketAddr::from(([127, 0, 0, host], 5_112));
+        let machine = |host: u8, priority: u8| {
+            let set =
+                Settings::new(at(host), vec![at(3 - host)], 7, priority, vec![Ipv4Addr::new(127, 1, 0, 1)]);
+            Machine::new(Settings { interval_cs: 20, down_intervals, ..set })
+        };
+        let mut rng = SmallRng::seed_from_u64(3);
+        let mut pair = [machine(1, 100), machine(2, 90)];
+        pair.iter_mut().for_each(|m| drop(m.start(0.0)));
+        let (mut now, mut needless) = (0.0, 0);
+        while now < 86_400_000.0 {
+            now = pair[0].due_ms().min(pair[1].due_ms());
+            for k in 0..2 {
+                let was = pair[k].state();
+                let mut told = pair[k].tick(now);
+                needless += u32::from(
+                    k == 1 && was == State::Backup && pair[1].state() == State::Active && now > 60_000.0,
+                );
+                // What the other says to that, and so on, each lost by chance.
+                let (mut from, mut to) = (k, 1 - k);
+                while let Some(ad) = told.take().filter(|_| rng.random_range(0.0..1.0) >= 0.2) {
+                    told = pair[to].receive(now, at(from as u8 + 1), &ad);
+                    (from, to) = (to, from);
+                }
+            }
+        }
+        needless
+    };
+    let (three, eight) = (day(3), day(8));
+    assert!(three > 100, "three missed ones happen often: {three}");
+    assert!(eight <= 3, "eight in a row are rare: {eight}");
+}
+
+/// A peer that says what it should not: each is counted, none is heeded.
+#[test]
+fn bad_advertisements_are_counted_and_ignored() {
+    run(async {
+        let fleet = SlowFleet::start(98, 4, 64, 2).await;
+        let (router, virt) = (free_udp("127.0.98.10"), free("127.1.98.1"));
+        let peer = UdpSocket::bind("127.0.98.20:0").await.unwrap();
+        let stranger = UdpSocket::bind("127.0.98.21:0").await.unwrap();
+        let key = |byte: u8| base64::engine::general_purpose::STANDARD.encode([byte; 32]);
+        let dir = folder("vrrp-bad");
+        std::fs::write(dir.join("vrrp.key"), key(1)).unwrap();
+        let more = r#""priority":100,"interval_cs":10,"key_file":"vrrp.key""#;
+        let proxy = start("vrrp-bad", &fleet, router, peer.local_addr().unwrap(), virt, more);
+        proxy.until("active", true).await;
+        let virtual_address = match virt.ip() {
+            std::net::IpAddr::V4(ip) => ip,
+            _ => unreachable!(),
+        };
+        let ad = |vrid: u8, address: Ipv4Addr| {
+            Advertisement { vrid, priority: 250, interval_cs: 10, addresses: vec![address] }.encode()
+        };
+        let better = ad(7, virtual_address);
+        let mut right = Seals::new(Keys::parse(&key(1)).unwrap(), 5_000.0);
+        let mut old = Seals::new(Keys::parse(&key(1)).unwrap(), 5_000.0);
+        let mut wrong = Seals::new(Keys::parse(&key(2)).unwrap(), 5_000.0);
+        let now = unix_ms;
+        let mut broken = better.clone();
+        broken[6] ^= 1;
+        let bad: Vec<(&str, Vec<u8>)> = vec![
+            ("unsealed", better.clone()),
+            ("unsealed", b"x".to_vec()),
+            ("unsealed", wrong.seal(now(), better.clone())),
+            ("malformed", right.seal(now(), broken)),
+            ("malformed", right.seal(now(), vec![0x21, 7, 250, 0])),
+            ("mismatched", right.seal(now(), ad(8, virtual_address))),
+            ("mismatched", right.seal(now(), ad(7, Ipv4Addr::new(127, 9, 9, 9)))),
+            ("replayed", old.seal(now() - 60_000.0, better.clone())),
+        ];
+        for (what, datagram) in &bad {
+            let before = proxy.figure(what).await;
+            peer.send_to(datagram, router).await.unwrap();
+            let end = Instant::now() + Duration::from_secs(2);
+            while proxy.figure(what).await == before {
+                assert!(Instant::now() < end, "{what} is not counted");
+            }
+        }
+        let sealed = right.seal(now(), better.clone());
+        stranger.send_to(&sealed, router).await.unwrap();
+        let end = Instant::now() + Duration::from_secs(2);
+        while proxy.figure("strangers").await == 0 {
+            assert!(Instant::now() < end, "a stranger is not counted");
+        }
+        assert_eq!(proxy.status().await["state"].as_str(), Some("active"), "none of them was heeded");
+        assert_eq!(proxy.figure("gave_up").await, 0);
+        // The same words, sealed and new, are heeded; said again they are not.
+        let sealed = right.seal(now(), better);
+        peer.send_to(&sealed, router).await.unwrap();
+        proxy.until("backup", true).await;
+        proxy.until("active", true).await;
+        peer.send_to(&sealed, router).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(proxy.status().await["state"].as_str(), Some("active"), "a replay was heeded");
+        let log = std::fs::read_to_string(proxy.dir.join("proxy.log")).unwrap();
+        assert!(log.contains("a datagram is not heeded"), "{log}");
+    });
+}
+
+#[test]
+fn a_stop_and_an_operators_word_hand_over_without_a_loss() {
+    run(async {
+        let more = [100, 90].map(|p| format!(r#""priority":{p},"interval_cs":10"#));
+        let (fleet, _relay, mut proxies, virt) = pair(99, "vrrp-stop", [&more[0], &more[1]]).await;
+        let load = Load::start(virt, 8, PATIENCE);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        // The operator's word: it stands aside, and comes back.
+        assert!(proxies[0].call("POST", "/vrrp/aside").await.is_some());
+        proxies[0].until("fault", true).await;
+        proxies[1].until("active", true).await;
+        assert_eq!(proxies[0].status().await["serve"][0]["open"].as_bool(), Some(false));
+        assert!(proxies[0].call("POST", "/vrrp/back").await.is_some());
+        proxies[0].until("active", true).await;
+        proxies[1].until("backup", true).await;
+        // A stop: the peer hears of it, and what was taken is answered before the process ends.
+        proxies[0].signal("-TERM");
+        proxies[1].until("active", true).await;
+        let end = Instant::now() + Duration::from_secs(8);
+        while proxies[0].process.0.try_wait().unwrap().is_none() {
+            assert!(Instant::now() < end, "the process does not end");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let ended = load.stop().await;
+        all_served("handed over", &ended);
+        assert_eq!(doubled(&fleet, &ended), 0, "an ad-post was sent twice");
+        let one = ask(virt, 5, true, PATIENCE).await;
+        assert_eq!((one.status, one.asked_again), (Some(200), 0));
+    });
+}
+
+/// A master whose caches are all gone gives the address to one that still has some: decided by what it tracks.
+#[test]
+fn a_master_whose_pool_fails_gives_the_address_up() {
+    run(async {
+        let track = r#""track":[{"what":"pool","below":0.5,"lower_by":50,"after_ms":200,"back_ms":1000}]"#;
+        let more = [
+            format!(r#""priority":100,"interval_cs":10,{track}"#),
+            r#""priority":90,"interval_cs":10"#.into(),
+        ];
+        let (_fleet, _relay, proxies, virt) = pair(101, "vrrp-track", [&more[0], &more[1]]).await;
+        let load = Load::start(virt, 6, PATIENCE);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        for cache in ["s-000000c1", "s-000000c2"] {
+            let within = Duration::from_secs(1);
+            let path = format!("/pop-caches/{cache}/maint");
+            let answer =
+                calicobeam::purge::wire::call(proxies[0].mgmt, "POST", &path, b"", within).await.unwrap();
+            assert_eq!(answer.status, 200);
+        }
+        proxies[1].until("active", true).await;
+        proxies[0].until("backup", true).await;
+        let status = proxies[0].status().await;
+        assert_eq!(
+            (status["priority"].as_u64(), status["track"][0]["bad"].as_bool()),
+            (Some(50), Some(true))
+        );
+        for cache in ["s-000000c1", "s-000000c2"] {
+            let within = Duration::from_secs(1);
+            let path = format!("/pop-caches/{cache}/ready");
+            calicobeam::purge::wire::call(proxies[0].mgmt, "POST", &path, b"", within).await.unwrap();
+        }
+        proxies[0].until("active", true).await;
+        proxies[1].until("backup", true).await;
+        // Requests that found no cache were refused at once; none hung, none was cut.
+        let ended = load.stop().await;
+        assert!(
+            ended.iter().all(|(_, _, e)| e.status.is_some() && !e.spoilt),
+            "a request had no whole answer"
+        );
+        let served = ended.iter().filter(|(_, _, e)| e.status == Some(200)).count();
+        assert!(served * 10 > ended.len() * 5, "{served} of {} served", ended.len());
+    });
+}
