--- /dev/null
+++ b/examples/vrrp_takeover.rs
@@ -0,0 +1,142 @@
+//! Takeovers measured on loopback: two proxy processes share a virtual address under a load of callers; the active
+//! one is killed (SIGKILL) again and again, and started anew. Bounded in count; ends by itself.
+//!
+//!     cargo build --release && cargo run --release --example vrrp_takeover -- [KILLS]
+
+#[path = "../tests/stand_ins/slow_box.rs"]
+mod slow_box;
+#[path = "../tests/stand_ins/vrrp_peer.rs"]
+mod vrrp_peer;
+
+use simd_json::prelude::*;
+use slow_box::SlowFleet;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+use vrrp_peer::Load;
+
+const PATIENCE: Duration = Duration::from_millis(5_000);
+
+struct Proxy {
+    child: Child,
+    mgmt: SocketAddr,
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn free(ip: &str) -> SocketAddr {
+    std::net::TcpListener::bind(format!("{ip}:0")).unwrap().local_addr().unwrap()
+}
+
+fn start(
+    program: &Path,
+    dir: &Path,
+    k: usize,
+    fleet: &SlowFleet,
+    routers: [SocketAddr; 2],
+    virt: SocketAddr,
+) -> Proxy {
+    let (listen, mgmt) = (free("127.0.102.10"), free("127.0.102.10"));
+    let mut text =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json")).unwrap();
+    for (n, at) in (7101..=7104).enumerate() {
+        text = text.replace(&format!("127.0.0.1:{at}"), &fleet.addresses[n].to_string());
+    }
+    let addresses = format!("\"listen\": \"{listen}\",\n  \"mgmt\": \"{mgmt}\",");
+    let (config, file) = (dir.join(format!("config-{k}.json")), dir.join(format!("vrrp-{k}.json")));
+    std::fs::write(&config, text.replace("\"listen\": \"127.0.0.1:5050\",", &addresses)).unwrap();
+    // The better one waits before it takes the address back, so that each kill meets a settled pair.
+    let text = format!(
+        r#"{{"listen":"{}","peers":["{}"],"vrid":7,"priority":{},"interval_cs":20,"down_intervals":8,"preempt":false,
+            "addresses":["{}"],"serve":[{{"address":"{virt}","front":"platform"}}]}}"#,
+        routers[k],
+        routers[1 - k],
+        [120, 100][k],
+        virt.ip()
+    );
+    std::fs::write(&file, text).unwrap();
+    let mut command = Command::new(program);
+    command.arg("serve").arg("--config").arg(config).arg("--vrrp").arg(file);
+    Proxy { child: command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap(), mgmt }
+}
+
+async fn state(proxy: &Proxy) -> Option<String> {
+    let within = Duration::from_secs(1);
+    let mut body = calicobeam::purge::wire::call(proxy.mgmt, "GET", "/vrrp", b"", within).await.ok()?.body;
+    let told = simd_json::to_owned_value(&mut body).ok()?;
+    told["state"].as_str().map(String::from)
+}
+
+async fn until(proxy: &Proxy, wanted: &str) {
+    let end = Instant::now() + Duration::from_secs(10);
+    while state(proxy).await.as_deref() != Some(wanted) {
+        assert!(Instant::now() < end, "not {wanted} in ten seconds");
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+fn at(sorted: &[f64], share: f64) -> f64 {
+    sorted[((sorted.len() - 1) as f64 * share).round() as usize]
+}
+
+fn main() {
+    let kills: usize = std::env::args().nth(1).and_then(|s| s.parse().ok()).unwrap_or(20);
+    let program =
+        PathBuf::from(std::env::var("CALICOBEAM").unwrap_or_else(|_| "target/release/calicobeam".into()));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let dir = std::env::temp_dir().join(format!("calicobeam-takeover-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        let fleet = SlowFleet::start(102, 4, 512, 4).await;
+        let virt = free("127.1.102.1");
+        let udp = || std::net::UdpSocket::bind("127.0.102.10:0").unwrap().local_addr().unwrap();
+        let routers = [udp(), udp()];
+        let mut pair = [0, 1].map(|k| start(&program, &dir, k, &fleet, routers, virt));
+        until(&pair[0], "active").await;
+        until(&pair[1], "backup").await;
+        let load = Load::start(virt, 16, PATIENCE);
+        let (mut takeovers, mut first_answers, mut master) = (Vec::new(), Vec::new(), 0);
+        for _ in 0..kills {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            let killed = Instant::now();
+            pair[master].child.kill().unwrap();
+            until(&pair[1 - master], "active").await;
+            takeovers.push(killed.elapsed().as_secs_f64() * 1_000.0);
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            let first = load.ended.borrow().iter().filter(|(_, _, e)| e.ended > killed).map(|(_, _, e)| e.ended).min();
+            first_answers.push(first.map_or(f64::NAN, |t| (t - killed).as_secs_f64() * 1_000.0));
+            let fresh = start(&program, &dir, master, &fleet, routers, virt);
+            pair[master] = fresh;
+            until(&pair[master], "backup").await;
+            master = 1 - master;
+        }
+        let ended = load.stop().await;
+        takeovers.sort_by(f64::total_cmp);
+        first_answers.sort_by(f64::total_cmp);
+        let lost = ended.iter().filter(|(_, _, e)| e.status != Some(200) || e.spoilt).count();
+        let again = ended.iter().filter(|(_, _, e)| e.asked_again > 0).count();
+        let posts = ended.iter().filter(|(_, write, _)| *write).count();
+        let keys = fleet.keys.borrow();
+        let sends = |id: u64| keys.get(&format!("k{id:x}")).copied().unwrap_or(0);
+        let doubled = ended.iter().filter(|(id, write, e)| *write && e.asked_again == 0 && sends(*id) > 1).count();
+        let repeated = ended.iter().filter(|(id, write, e)| *write && e.asked_again > 0 && sends(*id) > 1).count();
+        println!("| kills | takeover p50 / p99 / max ms | first answer after the kill p50 / max ms | requests | lost | asked again | ad-posts | doubled | sent again under their key |");
+        println!("| ---: | --- | --- | ---: | ---: | ---: | ---: | ---: | ---: |");
+        println!(
+            "| {kills} | {:.0} / {:.0} / {:.0} | {:.0} / {:.0} | {} | {lost} | {again} | {posts} | {doubled} | {repeated} |",
+            at(&takeovers, 0.5),
+            at(&takeovers, 0.99),
+            at(&takeovers, 1.0),
+            at(&first_answers, 0.5),
+            at(&first_answers, 1.0),
+            ended.len(),
+        );
+        let _ = std::fs::remove_dir_all(&dir);
+    });
+}
