--- /dev/null
+++ b/examples/poor_links.rs
@@ -0,0 +1,200 @@
+//! The edge for poor links measured on loopback: the program before a stand-in fleet, devices through a relay that
+//! loses 5 % of the datagrams and delays each by up to 300 ms, with several settings of the path. Bounded in count;
+//! ends by itself. Then what a claim of the shelf costs.
+//!
+//!     cargo build --release && cargo run --release --example poor_links -- [REQUESTS]
+
+#[path = "../tests/stand_ins/device.rs"]
+mod device;
+#[path = "../tests/stand_ins/slow_box.rs"]
+mod slow_box;
+
+use calicobeam::memory::requests::Final;
+use calicobeam::poor::config::PoorConfig;
+use calicobeam::poor::shelf::{Claim, Shelf, ShelfBounds};
+use device::{certify, Device, Impaired};
+use hdrhistogram::Histogram;
+use slow_box::SlowFleet;
+use std::cell::RefCell;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::{spawn_local, LocalSet};
+
+const DEVICES: u64 = 8;
+
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// What one setting gave.
+struct Round {
+    small: Histogram<u64>,
+    clips: Histogram<u64>,
+    /// Small objects asked for while a clip came on the same connection.
+    behind: Histogram<u64>,
+    all: u32,
+    in_time: u32,
+    doubled: usize,
+}
+
+fn program(dir: &Path, fleet: &SlowFleet, at: std::net::SocketAddr, path: &str) -> (Running, PoorConfig) {
+    let program =
+        PathBuf::from(std::env::var("CALICOBEAM").unwrap_or_else(|_| "target/release/calicobeam".into()));
+    let listen = std::net::TcpListener::bind("127.0.120.9:0").unwrap().local_addr().unwrap();
+    let mut node =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json")).unwrap();
+    for (k, from) in (7101..=7104).enumerate() {
+        node = node.replace(&format!("127.0.0.1:{from}"), &fleet.addresses[k].to_string());
+    }
+    std::fs::write(dir.join("config.json"), node.replace("127.0.0.1:5050", &listen.to_string())).unwrap();
+    let file = dir.join("poor.json");
+    let text = format!(r#"{{"listen":"{at}","certificate":"cert.pem","key":"key.pem","path":{path}}}"#);
+    std::fs::write(&file, text).unwrap();
+    let mut command = Command::new(program);
+    command.arg("serve").arg("--config").arg(dir.join("config.json")).arg("--poor").arg(&file);
+    let child = command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap();
+    while std::net::TcpStream::connect(listen).is_err() {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    std::thread::sleep(Duration::from_millis(50));
+    (Running(child), PoorConfig::read(&file).unwrap())
+}
+
+async fn round(dir: &Path, path: &str, loss: f64, jitter_ms: f64, requests: u64, number: u64) -> Round {
+    let fleet = SlowFleet::start(119, 4, 256, 4).await;
+    fleet.part_bytes.set(120_000);
+    let at = std::net::UdpSocket::bind("127.0.120.9:0").unwrap().local_addr().unwrap();
+    let (_program, config) = program(dir, &fleet, at, path);
+    let link = Impaired::start("127.0.120.20", at, 5 + number).await;
+    link.loss.set(loss);
+    link.jitter_ms.set(jitter_ms);
+    let new = || Histogram::<u64>::new(3).unwrap();
+    let round = Round { small: new(), clips: new(), behind: new(), all: 0, in_time: 0, doubled: 0 };
+    let round = Rc::new(RefCell::new(round));
+    let devices: Vec<_> = (0..DEVICES)
+        .map(|k| {
+            let (round, config, at) = (round.clone(), config.clone(), link.address);
+            spawn_local(async move {
+                let mut device = None;
+                while device.is_none() {
+                    device = Device::connect(at, &config, None).await;
+                }
+                let device = Rc::new(device.unwrap());
+                for n in 0..requests {
+                    let id = number << 40 | k << 24 | n << 4;
+                    let start = Instant::now();
+                    let (got, patience, kind) = match n % 3 {
+                        0 => (device.post(id, 3_000).await, 3_000, 0),
+                        1 => (device.small(id, 3_000).await, 3_000, 0),
+                        _ => {
+                            // A clip, and a small object behind it on the same connection.
+                            let behind = spawn_local({
+                                let (device, round) = (device.clone(), round.clone());
+                                async move {
+                                    tokio::time::sleep(Duration::from_millis(50)).await;
+                                    let start = Instant::now();
+                                    let got = device.small(id | 1, 3_000).await;
+                                    let ok = got.is_some_and(|g| g.status == 200);
+                                    let mut round = round.borrow_mut();
+                                    round.all += 1;
+                                    round.in_time +=
+                                        u32::from(ok && start.elapsed() < Duration::from_millis(3_000));
+                                    round.behind.record(start.elapsed().as_millis() as u64).unwrap();
+                                }
+                            });
+                            let text = format!("{id:016x}");
+                            let headers = [("x-call-id", text.as_str()), ("x-patience-ms", "5000")];
+                            let path = format!("/ops/video-part/{text}/slice-1");
+                            let got = device.ask("GET", &path, &headers, b"").await;
+                            behind.await.unwrap();
+                            (got, 5_000, 1)
+                        }
+                    };
+                    let took = match &got {
+                        Some(got) => got.took_ms as u64,
+                        None => start.elapsed().as_millis() as u64,
+                    };
+                    let mut round = round.borrow_mut();
+                    round.all += 1;
+                    round.in_time += u32::from(got.is_some_and(|g| g.status == 200) && took < patience);
+                    if kind == 0 {
+                        round.small.record(took).unwrap();
+                    } else {
+                        round.clips.record(took).unwrap();
+                    }
+                }
+            })
+        })
+        .collect();
+    for device in devices {
+        device.await.unwrap();
+    }
+    round.borrow_mut().doubled = fleet.keys.borrow().values().filter(|n| **n > 1).count();
+    Rc::try_unwrap(round).ok().unwrap().into_inner()
+}
+
+fn claims() {
+    let bounds = ShelfBounds {
+        calls: 8_192,
+        per_session: 64,
+        bytes: 64 << 20,
+        linger_ms: 5_000.0,
+        keep_read_ms: 10_000.0,
+        keep_write_ms: 60_000.0,
+    };
+    let (mut shelf, calls) = (Shelf::new(bounds), 400_000u64);
+    let answer = Final::Served { tag: None, body: vec![1u8; 600].into() };
+    let (start, mut most) = (Instant::now(), 0);
+    for n in 0..calls {
+        let (now, key) = (n as f64 / 4.0, (u128::from(n % 2_000), n));
+        assert_eq!(shelf.claim(now, key, n, n % 3 == 0), Claim::New);
+        shelf.finished(now + 0.1, key, &answer);
+        assert!(matches!(shelf.claim(now + 0.2, key, n, n % 3 == 0), Claim::Done(_)));
+        most = most.max(shelf.bytes());
+    }
+    let ns = start.elapsed().as_nanos() as f64 / calls as f64;
+    println!("shelf: {ns:.0} ns for a call's claim, its answer and its second claim; {} calls and {most} bytes held at most", bounds.calls);
+}
+
+fn main() {
+    let requests: u64 = std::env::args().nth(1).and_then(|s| s.parse().ok()).unwrap_or(24);
+    let dir = std::env::temp_dir().join(format!("calicobeam-poor-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    certify(&dir);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        println!("| link | path | requests | in time | small p50 / p99 ms | behind a clip p50 / p99 ms | clip of 120 KB p50 / p99 ms | ad-posts doubled |");
+        println!("| --- | --- | ---: | ---: | --- | --- | --- | ---: |");
+        let bbr = r#"{"congestion":"bbr"}"#;
+        let cubic = r#"{"congestion":"cubic"}"#;
+        let plain = r#"{"congestion":"cubic","reorder_packets":3,"reorder_trips":1.125}"#;
+        let rounds = [
+            ("clean", "bbr, 32 packets", bbr, 0.0, 0.0),
+            ("5 %, 300 ms", "cubic, 3 packets (RFC 9002)", plain, 0.05, 300.0),
+            ("5 %, 300 ms", "cubic, 32 packets", cubic, 0.05, 300.0),
+            ("5 %, 300 ms", "bbr, 32 packets", bbr, 0.05, 300.0),
+        ];
+        for (number, (link, name, path, loss, jitter)) in rounds.into_iter().enumerate() {
+            let r = round(&dir, path, loss, jitter, requests, number as u64 + 1).await;
+            let two = |h: &Histogram<u64>| format!("{} / {}", h.value_at_quantile(0.5), h.value_at_quantile(0.99));
+            println!(
+                "| {link} | {name} | {} | {:.3} | {} | {} | {} | {} |",
+                r.all,
+                f64::from(r.in_time) / f64::from(r.all),
+                two(&r.small),
+                two(&r.behind),
+                two(&r.clips),
+                r.doubled
+            );
+        }
+    });
+    claims();
+    let _ = std::fs::remove_dir_all(&dir);
+}
