Shared duties: servers probed once a slot by one of several instances, and every module told

Need: other installations probe their servers; no server may be probed by every instance at once, and a duty lost with a dead instance is to be picked up within seconds.

Change: src/duties. Without I/O: slots spread over the period and a rendezvous order, one grant a duty's slot (a majority of grants before a probe, so the lesser part of a split and two that both think a duty theirs double nothing), the instance's plan, a board of results.

--- /dev/null
+++ b/src/duties/plan.rs
@@ -0,0 +1,472 @@
+//! An instance's part in the duties: whom it hears, which slots it claims and when, what it grants, and what it does
+//! once a majority granted it. No I/O; time is Unix milliseconds, as it is told.
+//!
+//! In a duty's order the first claims its slot when it is due, the second a step later, and so on: where the first
+//! has died, the second does the duty in that very slot, before anybody knows of the death. Those that are known to
+//! be silent are left out of the order, so that the next slots are on time again.
+
+use super::slots::{due_ms, place, slot_at, DutyId, InstanceId, Slot};
+use super::votes::Votes;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What instances tell each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase", deny_unknown_fields)]
+pub enum Message {
+    /// The sender lives.
+    Beat,
+    /// The sender wants to do a duty's slot.
+    Claim {
+        /// The duty.
+        duty: DutyId,
+        /// Its slot.
+        slot: Slot,
+    },
+    /// The sender grants it, or says that it is not to be had.
+    Grant {
+        /// The duty.
+        duty: DutyId,
+        /// Its slot.
+        slot: Slot,
+        /// Whether it is granted.
+        yes: bool,
+    },
+    /// The sender did it.
+    Result {
+        /// The duty.
+        duty: DutyId,
+        /// Its slot.
+        slot: Slot,
+        /// Whether the server answered as it should.
+        ok: bool,
+        /// How long that took, in milliseconds.
+        took_ms: f64,
+    },
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// Tell all other instances.
+    Tell(Message),
+    /// Tell one.
+    Answer(InstanceId, Message),
+    /// Do the duty now, once.
+    Run(DutyId, Slot),
+}
+
+/// Times, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Times {
+    /// Between two slots of a duty.
+    pub period_ms: f64,
+    /// How much later each next instance in a duty's order claims.
+    pub step_ms: f64,
+    /// Between two tries of a claim that is not yet granted.
+    pub again_ms: f64,
+    /// How long a claim is tried.
+    pub claim_ms: f64,
+    /// Between two beats.
+    pub beat_ms: f64,
+    /// Silence after which an instance is left out of the order.
+    pub dead_ms: f64,
+}
+
+/// A claim that is not yet granted.
+#[derive(Clone, Debug)]
+struct Claiming {
+    slot: Slot,
+    since_ms: f64,
+    again_ms: f64,
+    yes: BTreeSet<InstanceId>,
+    no: BTreeSet<InstanceId>,
+}
+
+/// Figures.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct PlanFigures {
+    /// Duties done here.
+    pub ran: u64,
+    /// Of them such as another one comes first for, which did not.
+    pub stood_in: u64,
+    /// Claims begun.
+    pub claims: u64,
+    /// Claims that another instance was quicker in.
+    pub outvoted: u64,
+    /// Claims that no majority answered: a split, or too many are down.
+    pub unanswered: u64,
+    /// Results heard from others.
+    pub heard: u64,
+}
+
+/// The instance. See the module's page.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    me: InstanceId,
+    all: BTreeSet<InstanceId>,
+    times: Times,
+    heard_ms: BTreeMap<InstanceId, f64>,
+    votes: Votes,
+    duties: BTreeSet<DutyId>,
+    claims: BTreeMap<DutyId, Claiming>,
+    /// The last slot of each duty that is settled here: done, granted to another, or given up.
+    settled: BTreeMap<DutyId, Slot>,
+    beat_ms: f64,
+    /// Its figures.
+    pub figures: PlanFigures,
+}
+
+impl Plan {
+    /// Instance `me` of `all`, which starts at `now`.
+    pub fn new(now: f64, me: InstanceId, all: impl IntoIterator<Item = InstanceId>, times: Times) -> Self {
+        let mut all: BTreeSet<InstanceId> = all.into_iter().collect();
+        all.insert(me);
+        // What it granted before it started may be of the slot that is due, or of the next by another's clock.
+        let quiet_ms = if all.len() > 1 { 2.0 * times.period_ms } else { 0.0 };
+        Self {
+            me,
+            // All others count as alive at first: one that is not is found out by its silence.
+            heard_ms: all.iter().map(|id| (*id, now)).collect(),
+            all,
+            times,
+            votes: Votes::new(now, quiet_ms),
+            duties: BTreeSet::new(),
+            claims: BTreeMap::new(),
+            settled: BTreeMap::new(),
+            beat_ms: f64::NEG_INFINITY,
+            figures: PlanFigures::default(),
+        }
+    }
+
+    /// Takes the list of duties.
+    pub fn list(&mut self, now: f64, duties: impl IntoIterator<Item = DutyId>) {
+        self.duties = duties.into_iter().collect();
+        let is = |duty: &DutyId| self.duties.contains(duty);
+        self.claims.retain(|duty, _| is(duty));
+        self.settled.retain(|duty, _| is(duty));
+        // A duty that is new is due from its next slot on.
+        for duty in &self.duties {
+            self.settled.entry(*duty).or_insert_with(|| slot_at(now, *duty, self.times.period_ms));
+        }
+        let duties = &self.duties;
+        self.votes.retain(|duty| duties.contains(&duty));
+    }
+
+    /// How many grants a claim needs, its own among them.
+    pub fn majority(&self) -> usize {
+        self.all.len() / 2 + 1
+    }
+
+    /// Whether an instance counts as alive.
+    pub fn alive(&self, now: f64, id: InstanceId) -> bool {
+        id == self.me || self.heard_ms.get(&id).is_some_and(|at| now - at < self.times.dead_ms)
+    }
+
+    /// Instances that count as alive.
+    pub fn living(&self, now: f64) -> impl Iterator<Item = InstanceId> + '_ {
+        self.all.iter().copied().filter(move |id| self.alive(now, *id))
+    }
+
+    /// When this instance claims a slot of a duty.
+    fn claims_at(&self, now: f64, duty: DutyId, slot: Slot) -> (f64, usize) {
+        let place = place(duty, self.me, self.living(now));
+        (due_ms(duty, slot, self.times.period_ms) + place as f64 * self.times.step_ms, place)
+    }
+
+    /// Does what is due by `now`.
+    pub fn tick(&mut self, now: f64) -> Vec<Act> {
+        let mut acts = Vec::new();
+        if now >= self.beat_ms {
+            self.beat_ms = now + self.times.beat_ms;
+            acts.push(Act::Tell(Message::Beat));
+        }
+        for duty in self.duties.clone() {
+            let slot = slot_at(now, duty, self.times.period_ms);
+            let settled = self.settled.get(&duty).is_some_and(|s| *s >= slot);
+            let held = self.votes.holder(duty, slot).is_some_and(|who| who != self.me);
+            let (at, place) = self.claims_at(now, duty, slot);
+            if !settled && !held && !self.claims.contains_key(&duty) && now >= at {
+                self.settled.insert(duty, slot);
+                if !self.votes.ask(now, duty, slot, slot, self.me) {
+                    // It has just started, and its own grant counts no more than the others'.
+                    continue;
+                }
+                self.figures.claims += 1;
+                self.figures.stood_in += u64::from(place > 0);
+                let (yes, no) = (BTreeSet::from([self.me]), BTreeSet::new());
+                self.claims.insert(duty, Claiming { slot, since_ms: now, again_ms: now, yes, no });
+            }
+            self.pursue(now, duty, &mut acts);
+        }
+        acts
+    }
+
+    /// Goes on with a claim: granted, lost, given up, or told again.
+    fn pursue(&mut self, now: f64, duty: DutyId, acts: &mut Vec<Act>) {
+        let (need, all) = (self.majority(), self.all.len());
+        let Some(claim) = self.claims.get_mut(&duty) else { return };
+        let slot = claim.slot;
+        if claim.yes.len() >= need {
+            self.claims.remove(&duty);
+            self.figures.ran += 1;
+            return acts.push(Act::Run(duty, slot));
+        }
+        if claim.no.len() > all - need {
+            self.claims.remove(&duty);
+            self.figures.outvoted += 1;
+            return;
+        }
+        if now - claim.since_ms >= self.times.claim_ms {
+            self.claims.remove(&duty);
+            self.figures.unanswered += 1;
+            return;
+        }
+        if now >= claim.again_ms {
+            claim.again_ms = now + self.times.again_ms;
+            acts.push(Act::Tell(Message::Claim { duty, slot }));
+        }
+    }
+
+    /// Takes another instance's word. A result is the caller's to note.
+    pub fn receive(&mut self, now: f64, from: InstanceId, message: &Message) -> Vec<Act> {
+        let mut acts = Vec::new();
+        if from == self.me || !self.all.contains(&from) {
+            return acts;
+        }
+        self.heard_ms.insert(from, now);
+        match *message {
+            Message::Beat => {}
+            Message::Claim { duty, slot } => {
+                let current = slot_at(now, duty, self.times.period_ms);
+                // Duties that only the other knows of by now are granted as well: lists may come later here.
+                let yes = self.votes.ask(now, duty, slot, current, from);
+                acts.push(Act::Answer(from, Message::Grant { duty, slot, yes }));
+            }
+            Message::Grant { duty, slot, yes } => {
+                if let Some(claim) = self.claims.get_mut(&duty).filter(|c| c.slot == slot) {
+                    if yes {
+                        claim.yes.insert(from);
+                    } else {
+                        claim.no.insert(from);
+                    }
+                    self.pursue(now, duty, &mut acts);
+                }
+            }
+            Message::Result { duty, slot, .. } => {
+                self.figures.heard += 1;
+                let settled = self.settled.entry(duty).or_insert(slot);
+                *settled = slot.max(*settled);
+                if !self.duties.contains(&duty) {
+                    self.settled.remove(&duty);
+                }
+            }
+        }
+        acts
+    }
+
+    /// When [`Self::tick`] has something to do next.
+    pub fn next_due(&self, now: f64) -> f64 {
+        let claims = self.claims.values().map(|c| c.again_ms.min(c.since_ms + self.times.claim_ms));
+        let slots = self.duties.iter().map(|duty| {
+            let slot = slot_at(now, *duty, self.times.period_ms);
+            let open = self.settled.get(duty).is_none_or(|s| *s < slot);
+            let held = self.votes.holder(*duty, slot).is_some_and(|who| who != self.me);
+            let here = self.claims_at(now, *duty, slot).0;
+            let next = due_ms(*duty, slot + 1, self.times.period_ms);
+            if open && !held && here > now {
+                here.min(next)
+            } else {
+                next
+            }
+        });
+        claims.chain(slots).fold(self.beat_ms, f64::min)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::rngs::SmallRng;
+    use rand::{RngExt, SeedableRng};
+
+    const TIMES: Times = Times {
+        period_ms: 2_000.0,
+        step_ms: 200.0,
+        again_ms: 40.0,
+        claim_ms: 400.0,
+        beat_ms: 300.0,
+        dead_ms: 1_200.0,
+    };
+
+    /// Instances in one thread, with a network that loses and delays.
+    struct Net {
+        plans: BTreeMap<InstanceId, Plan>,
+        wires: Vec<(f64, InstanceId, InstanceId, Message)>,
+        rng: SmallRng,
+        loss: f64,
+        /// Instances whose words reach nobody on the other side.
+        apart: BTreeSet<InstanceId>,
+        ran: Vec<(f64, InstanceId, DutyId, Slot)>,
+        skew: BTreeMap<InstanceId, f64>,
+    }
+
+    impl Net {
+        fn new(instances: u16, duties: u32, seed: u64) -> Self {
+            let all: Vec<InstanceId> = (1..=instances).collect();
+            let mut plans = BTreeMap::new();
+            for me in &all {
+                let mut plan = Plan::new(0.0, *me, all.iter().copied(), TIMES);
+                plan.list(0.0, 0..duties);
+                plans.insert(*me, plan);
+            }
+            let (rng, wires, apart, ran, skew) =
+                (SmallRng::seed_from_u64(seed), vec![], BTreeSet::new(), vec![], BTreeMap::new());
+            Self { plans, wires, rng, loss: 0.0, apart, ran, skew }
+        }
+
+        fn send(&mut self, now: f64, from: InstanceId, acts: Vec<Act>) {
+            let mut out = Vec::new();
+            for act in acts {
+                match act {
+                    Act::Tell(message) => {
+                        let others: Vec<InstanceId> =
+                            self.plans.keys().copied().filter(|id| *id != from).collect();
+                        out.extend(others.into_iter().map(|to| (to, message.clone())));
+                    }
+                    Act::Answer(to, message) => out.push((to, message)),
+                    Act::Run(duty, slot) => {
+                        self.ran.push((now, from, duty, slot));
+                        let message = Message::Result { duty, slot, ok: true, took_ms: 1.0 };
+                        let others: Vec<InstanceId> =
+                            self.plans.keys().copied().filter(|id| *id != from).collect();
+                        out.extend(others.into_iter().map(|to| (to, message.clone())));
+                    }
+                }
+            }
+            for (to, message) in out {
+                let cut = self.apart.contains(&from) != self.apart.contains(&to);
+                if !cut && self.rng.random_range(0.0..1.0) >= self.loss {
+                    self.wires.push((now + self.rng.random_range(0.5..20.0), from, to, message));
+                }
+            }
+        }
+
+        fn run(&mut self, from: f64, to: f64) {
+            let mut now = from;
+            while now < to {
+                now += 10.0;
+                for id in self.plans.keys().copied().collect::<Vec<_>>() {
+                    let own = now + self.skew.get(&id).copied().unwrap_or(0.0);
+                    let acts = self.plans.get_mut(&id).unwrap().tick(own);
+                    self.send(now, id, acts);
+                }
+                let (due, later): (Vec<_>, Vec<_>) =
+                    std::mem::take(&mut self.wires).into_iter().partition(|w| w.0 <= now);
+                self.wires = later;
+                for (_, from, to, message) in due {
+                    let own = now + self.skew.get(&to).copied().unwrap_or(0.0);
+                    if let Some(plan) = self.plans.get_mut(&to) {
+                        let acts = plan.receive(own, from, &message);
+                        self.send(now, to, acts);
+                    }
+                }
+            }
+        }
+
+        /// Slots of each duty that were done between two times, and the most often that one was.
+        fn done(&self, from: f64, to: f64) -> (usize, usize) {
+            let mut counts = BTreeMap::<(DutyId, Slot), usize>::new();
+            for (_, _, duty, slot) in self.ran.iter().filter(|(at, ..)| *at >= from && *at < to) {
+                *counts.entry((*duty, *slot)).or_default() += 1;
+            }
+            (counts.len(), counts.values().copied().max().unwrap_or(0))
+        }
+    }
+
+    #[test]
+    fn each_slot_is_done_once_and_all_do_their_part() {
+        let mut net = Net::new(3, 30, 1);
+        net.run(0.0, 24_000.0);
+        assert_eq!(net.done(8_000.0, 24_000.0), (30 * 8, 1), "30 duties, 8 periods");
+        for id in 1..=3 {
+            let part = net.ran.iter().filter(|(at, who, ..)| *at >= 8_000.0 && *who == id).count();
+            assert!((40..130).contains(&part), "{id} did {part} of 240");
+        }
+    }
+
+    #[test]
+    fn losses_and_clocks_that_differ_double_nothing() {
+        let mut net = Net::new(3, 30, 2);
+        (net.loss, net.skew) = (0.2, BTreeMap::from([(1, -150.0), (2, 250.0)]));
+        net.run(0.0, 44_000.0);
+        let (slots, most) = net.done(8_000.0, 44_000.0);
+        assert_eq!(most, 1, "a slot was done twice");
+        assert!(slots >= 30 * 18 * 9 / 10, "{slots} of {}", 30 * 18);
+    }
+
+    #[test]
+    fn a_dead_ones_duties_are_taken_up_in_the_next_slots() {
+        let mut net = Net::new(3, 30, 3);
+        net.run(0.0, 10_000.0);
+        net.plans.remove(&2);
+        net.run(10_000.0, 20_000.0);
+        let (slots, most) = net.done(10_500.0, 18_500.0);
+        assert_eq!((slots, most), (30 * 4, 1), "no slot was left out");
+        let late: Vec<f64> = net
+            .ran
+            .iter()
+            .filter(|(at, ..)| *at > 10_000.0)
+            .map(|(at, _, duty, slot)| at - due_ms(*duty, *slot, TIMES.period_ms))
+            .collect();
+        assert!(late.iter().all(|ms| *ms < 500.0), "at most two steps and a round late");
+        assert!(net.plans[&1].figures.stood_in + net.plans[&3].figures.stood_in > 0);
+    }
+
+    #[test]
+    fn the_lesser_part_of_a_split_does_nothing_and_a_restart_doubles_nothing() {
+        let mut net = Net::new(3, 30, 4);
+        net.run(0.0, 10_000.0);
+        net.apart.insert(3);
+        net.run(10_000.0, 20_000.0);
+        assert_eq!(net.done(10_500.0, 19_500.0).1, 1);
+        assert!(
+            !net.ran.iter().any(|(at, who, ..)| *at > 10_500.0 && *who == 3),
+            "the lesser part did a duty"
+        );
+        assert!(net.plans[&3].figures.unanswered > 0);
+        net.apart.clear();
+        // One that starts anew, again and again, forgets what it granted.
+        for k in 0..20 {
+            let now = 20_000.0 + f64::from(k) * 900.0;
+            let mut plan = Plan::new(now, 1, [1, 2, 3], TIMES);
+            plan.list(now, 0..30);
+            net.plans.insert(1, plan);
+            net.run(now, now + 900.0);
+        }
+        net.run(38_000.0, 50_000.0);
+        assert_eq!(net.done(0.0, 50_000.0).1, 1, "a slot was done twice");
+        assert_eq!(net.done(44_000.0, 50_000.0).0, 30 * 3, "all is well again");
+    }
+
+    #[test]
+    fn strangers_and_what_comes_late_change_nothing() {
+        let mut plan = Plan::new(0.0, 1, [1, 2, 3], TIMES);
+        plan.list(0.0, [7]);
+        assert!(plan.receive(9_000.0, 9, &Message::Claim { duty: 7, slot: 4 }).is_empty(), "a stranger");
+        let far = plan.receive(9_000.0, 2, &Message::Claim { duty: 7, slot: 900 });
+        assert_eq!(far, [Act::Answer(2, Message::Grant { duty: 7, slot: 900, yes: false })]);
+        assert!(
+            plan.receive(9_000.0, 2, &Message::Grant { duty: 7, slot: 3, yes: true }).is_empty(),
+            "of no claim"
+        );
+        let mut alone = Plan::new(0.0, 1, [], TIMES);
+        alone.list(0.0, [7]);
+        let mut ran = 0;
+        for k in 0..1_000 {
+            ran += alone.tick(f64::from(k) * 10.0).iter().filter(|a| matches!(a, Act::Run(..))).count();
+        }
+        let due = (1..).take_while(|slot| due_ms(7, *slot, TIMES.period_ms) < 9_990.0).count();
+        assert_eq!(ran, due, "one alone does all, once each period, from the next slot on");
+    }
+}
--- a/src/engine/host.rs
+++ b/src/engine/host.rs
@@ -9,7 +9,7 @@
 use crate::memory::requests::{Ask, Final, NotTaken};
 use crate::settings::Env;
 use crate::wire::cache;
-use crate::RequestId;
+use crate::{MemberId, RequestId};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
@@ -102,6 +102,13 @@
         all
     }
 
+    /// The listed members of a kind, whatever their state, with their own addresses.
+    pub fn members(&self, model: &str) -> Vec<(MemberId, SocketAddr)> {
+        let engine = self.engine.borrow();
+        let members = engine.of_kind(model).map(|(id, at, _)| (id, SocketAddr::V4(at)));
+        members.collect()
+    }
+
     fn carry_out(self: &Rc<Self>) {
         loop {
             let effect = self.engine.borrow_mut().take_effect();
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -101,6 +101,8 @@
     registry: bool,
     /// How often the list of members has changed.
     roster_changes: u64,
+    /// Probes are shared duties: their results come by [`Self::probed`].
+    probed: bool,
 }
 
 impl Engine {
@@ -127,6 +129,7 @@
             purge: None,
             registry: false,
             roster_changes: 0,
+            probed: false,
         }
     }
 
@@ -166,6 +169,18 @@
         targets
     }
 
+    /// From now on members are probed as shared duties, and what the module would probe is left to those.
+    pub fn share_probes(&mut self) {
+        self.probed = true;
+    }
+
+    /// Probes found a member down, or up again: the module is told, and decides what follows.
+    pub fn probed(&mut self, member: MemberId, up: bool) {
+        let verdict = if up { Verdict::Served } else { Verdict::NoConnection };
+        self.events.push_back(Event::Probed { member, verdict });
+        self.run();
+    }
+
     /// How often the list of members has changed.
     pub fn roster_changes(&self) -> u64 {
         self.roster_changes
@@ -572,6 +587,7 @@
             }
             Action::Timer { token, at } => self.timers.push(millis(at), token),
             // Probes are not allowed on this platform, and its PING tells only that a connection works.
+            Action::Probe { .. } if self.probed => {}
             Action::Probe { member } => {
                 self.events.push_back(Event::Probed { member, verdict: Verdict::NeverSent });
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
 
 pub mod admission;
 pub mod clock;
+pub mod duties;
 pub mod engine;
 pub mod grpc;
 mod interface;
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -7,6 +7,8 @@
 use crate::admission::config::DoorConfig;
 use crate::admission::gate::Gate;
 use crate::clock::{span, Clock};
+use crate::duties::config::DutiesConfig;
+use crate::duties::driver::Duties;
 use crate::engine::host::Host;
 use crate::engine::{Engine, EngineBounds};
 use crate::grpc::config::GrpcConfig;
@@ -78,6 +80,8 @@
     pub grpc: Option<GrpcConfig>,
     /// The edge for poor links.
     pub poor: Option<PoorConfig>,
+    /// Shared duties.
+    pub duties: Option<DutiesConfig>,
 }
 
 /// Starts the engine of a configuration, with what was known at the start. A second front may bring `extra`
@@ -108,7 +112,7 @@
 
 /// Serves until SIGTERM or SIGINT, and ends once all that was taken is answered.
 pub async fn serve(mut config: Config, extras: Extras) -> Result<(), ServeError> {
-    let Extras { front, router, purges, door, registry, grpc, poor } = extras;
+    let Extras { front, router, purges, door, registry, grpc, poor, duties } = extras;
     let handed = inherit::listener();
     let handed = handed.map_err(|e| ServeError::System("the socket that was handed over".into(), e))?;
     config.handed_over = handed.is_some();
@@ -176,6 +180,21 @@
             Some((router, set))
         }
     };
+    let duties = match duties {
+        None => None,
+        Some(config) => {
+            let listen = config.at();
+            let socket = UdpSocket::bind(listen).await;
+            let socket = socket.map_err(|e| ServeError::System(format!("listen on {listen}"), e))?;
+            let duties = Duties::new(host.clone(), config, socket);
+            let duties = duties.map_err(|why| ServeError::Field("key_file", why))?;
+            let (figures, task) = (duties.clone(), duties.clone());
+            host.add_figures(Box::new(move || figures.metrics()));
+            always(&host, "shared duties", move || crate::duties::driver::run(task.clone()));
+            tracing::info!(%listen, "duties are shared");
+            Some(duties)
+        }
+    };
     if purges.is_some() && mgmt.is_none() {
         return Err(ServeError::Field(
             "mgmt",
@@ -205,6 +224,10 @@
             let front = front.clone();
             manage = manage.with_calls(Box::new(move |_, call| front.answer(call)), 0);
         }
+        if let Some(duties) = &duties {
+            let duties = duties.clone();
+            manage = manage.with_calls(Box::new(move |_, call| duties.answer(call)), 0);
+        }
         if let Some((router, _)) = &router {
             let router = router.clone();
             manage = manage.with_calls(Box::new(move |_, call| router.answer(call)), 0);
@@ -288,6 +311,9 @@
                 if let Some(door) = &door {
                     read_door_again(&host, door);
                 }
+                if let Some(Err(why)) = duties.as_ref().map(|duties| duties.rekey()) {
+                    tracing::warn!(%why, "the duties' old keys stay");
+                }
                 if let Some((edge, config)) = &poor {
                     match edge.reload(config) {
                         Ok(()) => tracing::info!(file = %config.file.display(), "certificates and session keys read again"),
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 use argh::FromArgs;
 use calicobeam::admission::config::DoorConfig;
+use calicobeam::duties::config::DutiesConfig;
 use calicobeam::grpc::config::GrpcConfig;
 use calicobeam::lifecycle::config::Config;
 use calicobeam::lifecycle::front::FrontConfig;
@@ -33,6 +34,7 @@
     Check(Check),
     GrpcRoute(GrpcRoute),
     Vrrp(Vrrp),
+    Show(Show),
     Purge(Purge),
 }
 
@@ -64,6 +66,9 @@
     /// the file of the edge for poor links (HTTP/3); without it there is no such front
     #[argh(option)]
     poor: Option<PathBuf>,
+    /// the file of duties shared among instances; without it nothing is probed
+    #[argh(option)]
+    duties: Option<PathBuf>,
 }
 
 /// Print the version.
@@ -99,6 +104,9 @@
     /// the file of the edge for poor links
     #[argh(option)]
     poor: Option<PathBuf>,
+    /// the file of duties shared among instances
+    #[argh(option)]
+    duties: Option<PathBuf>,
 }
 
 /// Say what the table of gRPC methods holds for a path.
@@ -125,6 +133,18 @@
     at: SocketAddr,
 }
 
+/// Show a subsystem's state, as JSON.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show")]
+struct Show {
+    /// which one: `registry`, `grpc`, `vrrp`, `duties` or `purges`
+    #[argh(positional)]
+    what: String,
+    /// the proxy's second address
+    #[argh(option)]
+    at: SocketAddr,
+}
+
 /// Issue fleet purges and see how far they got.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "purge")]
@@ -213,6 +233,10 @@
     path.map(|path| PoorConfig::read(&path).map_err(|e| e.to_string())).transpose()
 }
 
+fn read_duties(path: Option<PathBuf>) -> Result<Option<DutiesConfig>, String> {
+    path.map(|path| DutiesConfig::read(&path).map_err(|e| e.to_string())).transpose()
+}
+
 fn read_door(path: Option<PathBuf>) -> Result<Option<DoorConfig>, String> {
     path.map(|path| DoorConfig::read(&path).map_err(|e| e.to_string())).transpose()
 }
@@ -300,6 +324,7 @@
             read_registry(check.registry)?;
             read_grpc(check.grpc)?;
             read_poor(check.poor)?;
+            read_duties(check.duties)?;
             println!("calicobeam: the configuration of {:?} is in order", config.name);
         }
         Command::Serve(arguments) => {
@@ -311,13 +336,14 @@
             let registry = read_registry(arguments.registry)?;
             let grpc = read_grpc(arguments.grpc)?;
             let poor = read_poor(arguments.poor)?;
+            let duties = read_duties(arguments.duties)?;
             logging();
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
             let tasks = tokio::task::LocalSet::new();
             let served = tasks.block_on(
                 &runtime,
-                serve::serve(config, Extras { front, router, purges, door, registry, grpc, poor }),
+                serve::serve(config, Extras { front, router, purges, door, registry, grpc, poor, duties }),
             );
             return served.map_err(|e| e.to_string());
         }
@@ -335,6 +361,12 @@
                 route.retry.iter().map(|code| code.name()).collect::<Vec<_>>().join(",")
             );
         }
+        Command::Show(show) => {
+            if !["registry", "grpc", "vrrp", "duties", "purges"].contains(&show.what.as_str()) {
+                return Err(format!("{:?} is none of registry, grpc, vrrp, duties, purges", show.what));
+            }
+            println!("{}", ask(show.at, "GET", &format!("/{}", show.what), b"")?);
+        }
         Command::Vrrp(command) => {
             let (method, path) = match command.what.as_str() {
                 "status" => ("GET", "/vrrp"),
--- a/src/vrrp/auth.rs
+++ b/src/vrrp/auth.rs
@@ -35,15 +35,21 @@
     keys: Keys,
     /// How far a sender's clock may be from this one, in milliseconds.
     skew_ms: f64,
+    label: &'static [u8],
     last_sent: u64,
     /// The last number of each peer.
     heard: HashMap<SocketAddr, u64>,
 }
 
 impl Seals {
-    /// Seals by these keys.
+    /// Seals of advertisements by these keys.
     pub fn new(keys: Keys, skew_ms: f64) -> Self {
-        Self { keys, skew_ms, last_sent: 0, heard: HashMap::new() }
+        Self::labelled(keys, skew_ms, LABEL)
+    }
+
+    /// Seals of another protocol's datagrams: `label` says which, so that none passes for another's.
+    pub fn labelled(keys: Keys, skew_ms: f64, label: &'static [u8]) -> Self {
+        Self { keys, skew_ms, label, last_sent: 0, heard: HashMap::new() }
     }
 
     /// Takes other keys.
@@ -56,7 +62,7 @@
         let number = ((now_ms * 1_000.0) as u64).max(self.last_sent + 1);
         self.last_sent = number;
         let number = number.to_be_bytes();
-        let tag = self.keys.sign(LABEL, &[&message, &number]);
+        let tag = self.keys.sign(self.label, &[&message, &number]);
         message.extend(number);
         message.extend(tag);
         message
@@ -73,7 +79,7 @@
         let (message, trailer) = datagram.split_at(at);
         let (number, tag) = trailer.split_at(8);
         let number: [u8; 8] = number.try_into().expect("8 bytes");
-        if !self.keys.verify(LABEL, &[message, &number], tag) {
+        if !self.keys.verify(self.label, &[message, &number], tag) {
             return Err(BadSeal::Wrong);
         }
         let number = u64::from_be_bytes(number);
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -24,6 +24,7 @@
 
 pub mod device;
 pub mod grpc;
+pub mod probed;
 pub mod purge_box;
 pub mod registry;
 pub mod slow_box;
