Rules for requests: a typed expression language for classes and keys, bounded when it is read

Need: which requests are clips' parts, and what their keys are, stood in the platform's front; other installations name things otherwise.

Change: src/rules, without I/O but its file: syntax, types, definitions without recursion, bounds of length, nodes, depth and cost, evaluation that borrows from the request, the table of rules.

--- /dev/null
+++ b/examples/rules_load.rs
@@ -0,0 +1,168 @@
+//! What rules cost: a million requests asked of the deployed rules and of the platform's own code, the same keys and
+//! the steps against the bound; then requests over loopback through the program, without rules and with them, turn by
+//! turn. Bounded in count; ends by itself.
+//!
+//!     cargo build --release && cargo run --release --example rules_load -- [LOOPBACK]
+
+#[path = "../tests/stand_ins/slow_box.rs"]
+mod slow_box;
+
+use calicobeam::rules::config::RulesConfig;
+use calicobeam::wire::http::HttpRequest;
+use calicobeam::wire::platform::Platform;
+use hdrhistogram::Histogram;
+use slow_box::SlowFleet;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const RULES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/rules.json");
+const EVALUATIONS: u64 = 1_000_000;
+const CALLERS: u64 = 8;
+
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn evaluations() {
+    let (_, rules) = RulesConfig::read(Path::new(RULES)).unwrap();
+    let requests: Vec<HttpRequest> = (0..4_096u64)
+        .map(|n| HttpRequest {
+            method: "GET".into(),
+            target: format!(
+                "/ops/video-part/{:016x}/slice-{}",
+                n.wrapping_mul(0x9E37_79B9_7F4A_7C15),
+                n % 40
+            ),
+            headers: vec![("x-call-id".into(), format!("{n:016x}")), ("x-set".into(), (n % 200).to_string())],
+            ..HttpRequest::default()
+        })
+        .collect();
+    let (mut most, mut other) = (0u64, 0u64);
+    let start = Instant::now();
+    for n in 0..EVALUATIONS {
+        let mut steps = 0;
+        std::hint::black_box(rules.of(&requests[(n % 4_096) as usize], &mut steps));
+        most = most.max(steps);
+    }
+    let by_rules = start.elapsed();
+    let start = Instant::now();
+    for n in 0..EVALUATIONS {
+        std::hint::black_box(Platform::target(&requests[(n % 4_096) as usize]));
+    }
+    let by_code = start.elapsed();
+    for request in &requests {
+        other += u64::from(rules.of(request, &mut 0) != Platform::target(request));
+    }
+    let ns = |d: Duration| d.as_nanos() as f64 / EVALUATIONS as f64;
+    println!(
+        "{EVALUATIONS} requests: {:.0} ns by rules, {:.0} ns by code; {most} steps at most, bound {}; {other} with other keys",
+        ns(by_rules),
+        ns(by_code),
+        rules.cost()
+    );
+}
+
+async fn turn(at: SocketAddr, requests: u64, ids: u64) -> (Histogram<u64>, Duration, u64) {
+    let seen = Rc::new(RefCell::new((Histogram::<u64>::new(3).unwrap(), 0)));
+    let start = Instant::now();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|k| {
+            let seen = seen.clone();
+            tokio::task::spawn_local(async move {
+                let mut stream = TcpStream::connect(at).await.unwrap();
+                let _ = stream.set_nodelay(true);
+                let mut answer = vec![0u8; 4_096];
+                for n in 0..requests / CALLERS {
+                    let (id, start) = (ids << 40 | k << 32 | n, Instant::now());
+                    let text = format!(
+                        "GET /ops/small-object/{:016x} HTTP/1.1\r\nHost: t\r\nX-Call-Id: {id:016x}\r\nX-Set: 7\r\n\r\n",
+                        n % 997
+                    );
+                    stream.write_all(text.as_bytes()).await.unwrap();
+                    let got = stream.read(&mut answer).await.unwrap();
+                    let mut seen = seen.borrow_mut();
+                    seen.0.record(start.elapsed().as_micros() as u64).unwrap();
+                    seen.1 += u64::from(!answer[..got].starts_with(b"HTTP/1.1 200"));
+                }
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.await.unwrap();
+    }
+    let seen = seen.borrow();
+    (seen.0.clone(), start.elapsed(), seen.1)
+}
+
+fn main() {
+    evaluations();
+    let requests: u64 = std::env::args().nth(1).and_then(|s| s.parse().ok()).unwrap_or(60_000);
+    let program =
+        PathBuf::from(std::env::var("CALICOBEAM").unwrap_or_else(|_| "target/release/calicobeam".into()));
+    let dir = std::env::temp_dir().join(format!("calicobeam-rules-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let fleet = SlowFleet::start(126, 4, 256, 0).await;
+        let mut node =
+            std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json")).unwrap();
+        for (k, from) in (7101..=7104).enumerate() {
+            node = node.replace(&format!("127.0.0.1:{from}"), &fleet.addresses[k].to_string());
+        }
+        let start = |k: usize| {
+            let listen = std::net::TcpListener::bind("127.0.126.9:0").unwrap().local_addr().unwrap();
+            let config = dir.join(format!("config-{k}.json"));
+            std::fs::write(&config, node.replace("127.0.0.1:5050", &listen.to_string())).unwrap();
+            let mut command = Command::new(&program);
+            command.arg("serve").arg("--config").arg(config);
+            if k == 1 {
+                command.arg("--rules").arg(RULES);
+            }
+            let child = command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap();
+            (Running(child), listen)
+        };
+        let programs = [start(0), start(1)];
+        for (_, at) in &programs {
+            while std::net::TcpStream::connect(at).is_err() {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+        println!("| way | requests | a second | p50 / p99 us | not served |");
+        println!("| --- | ---: | ---: | --- | ---: |");
+        let mut sums: Vec<(Histogram<u64>, Duration, u64)> = Vec::new();
+        for round in 0..4u64 {
+            for (k, (_, at)) in programs.iter().enumerate() {
+                let got = turn(*at, requests / 4, round * 2 + k as u64 + 1).await;
+                match sums.get_mut(k) {
+                    None => sums.push(got),
+                    Some(sum) => {
+                        sum.0.add(got.0).unwrap();
+                        sum.1 += got.1;
+                        sum.2 += got.2;
+                    }
+                }
+            }
+        }
+        for (name, (times, took, failed)) in ["by code", "by rules"].iter().zip(&sums) {
+            println!(
+                "| {name} | {} | {:.0} | {} / {} | {failed} |",
+                times.len(),
+                times.len() as f64 / took.as_secs_f64(),
+                times.value_at_quantile(0.5),
+                times.value_at_quantile(0.99)
+            );
+        }
+    });
+    let _ = std::fs::remove_dir_all(&dir);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod poor;
 pub mod purge;
 pub mod registry;
+pub mod rules;
 pub mod settings;
 pub mod vrrp;
 pub mod wire;
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -22,6 +22,8 @@
 use crate::purge::{driver, wire::CALL_MOST};
 use crate::registry::config::RegistryConfig;
 use crate::registry::driver::{self as registry_driver, Link};
+use crate::rules::config::RulesConfig;
+use crate::rules::table::Rules;
 use crate::vrrp::config::{FrontKind, VrrpConfig};
 use crate::vrrp::driver::{self as vrrp, host_value};
 use crate::vrrp::track::{Rate, What};
@@ -82,6 +84,8 @@
     pub poor: Option<PoorConfig>,
     /// Shared duties.
     pub duties: Option<DutiesConfig>,
+    /// Rules that say what requests ask for.
+    pub rules: Option<(RulesConfig, Rules)>,
 }
 
 /// Starts the engine of a configuration, with what was known at the start. A second front may bring `extra`
@@ -112,7 +116,7 @@
 
 /// Serves until SIGTERM or SIGINT, and ends once all that was taken is answered.
 pub async fn serve(mut config: Config, extras: Extras) -> Result<(), ServeError> {
-    let Extras { front, router, purges, door, registry, grpc, poor, duties } = extras;
+    let Extras { front, router, purges, door, registry, grpc, poor, duties, rules } = extras;
     let handed = inherit::listener();
     let handed = handed.map_err(|e| ServeError::System("the socket that was handed over".into(), e))?;
     config.handed_over = handed.is_some();
@@ -142,7 +146,12 @@
         router.as_ref().is_some_and(|r| r.serve.iter().any(|s| s.front == FrontKind::Platform));
     // A virtual address's listener has half of the clients' descriptors.
     let connections = config.limits.sockets * 2 / if virtual_address { 10 } else { 5 };
-    let platform: Rc<dyn Front> = Rc::new(Platform::new(platform::limits(connections)));
+    let own = Rc::new(Platform::new(platform::limits(connections)));
+    let (rules_config, rules) = rules.map(|(config, rules)| (config, Rc::new(rules))).unzip();
+    own.set_rules(rules.clone());
+    // The fronts whose requests the rules are for.
+    let mut ruled = vec![own.clone()];
+    let platform: Rc<dyn Front> = own;
     let fronts = Fronts::default();
     fronts.borrow_mut().push((FrontKind::Platform, platform.clone()));
     let (stop, closing) = (Rc::new(Stop::default()), Rc::new(Notify::new()));
@@ -266,7 +275,12 @@
     }
     let poor = match poor {
         None => None,
-        Some(config) => Some((poor_links(&host, &config, &stop).await?, config)),
+        Some(config) => {
+            let inner = Rc::new(Platform::new(platform::limits(config.limits.tcp_connections)));
+            inner.set_rules(rules.clone());
+            ruled.push(inner.clone());
+            Some((poor_links(&host, &config, inner, &stop).await?, config))
+        }
     };
     let third = Rc::new(Notify::new());
     if let Some((front, config)) = &grpc {
@@ -311,6 +325,16 @@
                 if let Some(door) = &door {
                     read_door_again(&host, door);
                 }
+                if let Some(config) = &rules_config {
+                    match RulesConfig::read(&config.path) {
+                        Ok((_, fresh)) => {
+                            let fresh = Rc::new(fresh);
+                            ruled.iter().for_each(|front| front.set_rules(Some(fresh.clone())));
+                            tracing::info!(file = %config.path.display(), "rules read again");
+                        }
+                        Err(why) => tracing::warn!(%why, "the old rules stay"),
+                    }
+                }
                 if let Some(Err(why)) = duties.as_ref().map(|duties| duties.rekey()) {
                     tracing::warn!(%why, "the duties' old keys stay");
                 }
@@ -390,14 +414,18 @@
 }
 
 /// Opens the edge for poor links: QUIC, and TCP where the file says so, on one shelf.
-async fn poor_links(host: &Rc<Host>, config: &PoorConfig, stop: &Rc<Stop>) -> Result<PoorEdge, ServeError> {
+async fn poor_links(
+    host: &Rc<Host>,
+    config: &PoorConfig,
+    inner: Rc<dyn Front>,
+    stop: &Rc<Stop>,
+) -> Result<PoorEdge, ServeError> {
     let l = &config.limits;
     let field = |name| move |why| ServeError::Field(name, why);
     let keeper = Keeper::new(host.clone(), config.shelf());
     let sessions = config.sessions().map_err(field("session_keys"))?;
     let limits =
         Limits { idle_ms: l.idle_ms, body_bytes: l.body_bytes, ..platform::limits(l.tcp_connections) };
-    let inner: Rc<dyn Front> = Rc::new(Platform::new(limits.clone()));
     let front = Rc::new(PoorFront::new(inner, limits, sessions, keeper.clone()));
     let listen = config.at();
     let server = h3::server_config(config).map_err(field("certificate"))?;
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,7 +13,10 @@
 use calicobeam::purge::selector::Selector;
 use calicobeam::purge::wire::{call, from_json, Fault, Submit};
 use calicobeam::registry::config::RegistryConfig;
+use calicobeam::rules::config::RulesConfig;
+use calicobeam::rules::table::{Rules, Said};
 use calicobeam::vrrp::config::VrrpConfig;
+use calicobeam::wire::http::HttpRequest;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -35,6 +38,7 @@
     GrpcRoute(GrpcRoute),
     Vrrp(Vrrp),
     Show(Show),
+    Rule(RuleTry),
     Purge(Purge),
 }
 
@@ -69,6 +73,9 @@
     /// the file of duties shared among instances; without it nothing is probed
     #[argh(option)]
     duties: Option<PathBuf>,
+    /// the file of rules that say what requests ask for; without it the platform's own spelling does
+    #[argh(option)]
+    rules: Option<PathBuf>,
 }
 
 /// Print the version.
@@ -107,6 +114,9 @@
     /// the file of duties shared among instances
     #[argh(option)]
     duties: Option<PathBuf>,
+    /// the file of rules
+    #[argh(option)]
+    rules: Option<PathBuf>,
 }
 
 /// Say what the table of gRPC methods holds for a path.
@@ -133,6 +143,24 @@
     at: SocketAddr,
 }
 
+/// Say what rules make of a request.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "rule")]
+struct RuleTry {
+    /// the file of rules
+    #[argh(option)]
+    rules: PathBuf,
+    /// the method; GET where it is not given
+    #[argh(option, default = "String::from(\"GET\")")]
+    method: String,
+    /// a header, `name: value`; may be given more than once
+    #[argh(option)]
+    header: Vec<String>,
+    /// the target
+    #[argh(positional)]
+    target: String,
+}
+
 /// Show a subsystem's state, as JSON.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "show")]
@@ -237,6 +265,10 @@
     path.map(|path| DutiesConfig::read(&path).map_err(|e| e.to_string())).transpose()
 }
 
+fn read_rules(path: Option<PathBuf>) -> Result<Option<(RulesConfig, Rules)>, String> {
+    path.map(|path| RulesConfig::read(&path).map_err(|e| e.to_string())).transpose()
+}
+
 fn read_door(path: Option<PathBuf>) -> Result<Option<DoorConfig>, String> {
     path.map(|path| DoorConfig::read(&path).map_err(|e| e.to_string())).transpose()
 }
@@ -325,6 +357,9 @@
             read_grpc(check.grpc)?;
             read_poor(check.poor)?;
             read_duties(check.duties)?;
+            if let Some((_, rules)) = read_rules(check.rules)? {
+                println!("calicobeam: {} rules, at most {} steps a request", rules.0.len(), rules.cost());
+            }
             println!("calicobeam: the configuration of {:?} is in order", config.name);
         }
         Command::Serve(arguments) => {
@@ -337,13 +372,17 @@
             let grpc = read_grpc(arguments.grpc)?;
             let poor = read_poor(arguments.poor)?;
             let duties = read_duties(arguments.duties)?;
+            let rules = read_rules(arguments.rules)?;
             logging();
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
             let tasks = tokio::task::LocalSet::new();
             let served = tasks.block_on(
                 &runtime,
-                serve::serve(config, Extras { front, router, purges, door, registry, grpc, poor, duties }),
+                serve::serve(
+                    config,
+                    Extras { front, router, purges, door, registry, grpc, poor, duties, rules },
+                ),
             );
             return served.map_err(|e| e.to_string());
         }
@@ -361,6 +400,26 @@
                 route.retry.iter().map(|code| code.name()).collect::<Vec<_>>().join(",")
             );
         }
+        Command::Rule(asked) => {
+            let (_, rules) = RulesConfig::read(&asked.rules).map_err(|e| e.to_string())?;
+            let header = |line: &String| {
+                let (name, value) = line.split_once(':').ok_or(format!("{line:?} is no `name: value`"))?;
+                Ok((name.trim().to_ascii_lowercase(), value.trim().to_string()))
+            };
+            let headers = asked.header.iter().map(header).collect::<Result<_, String>>()?;
+            let (method, target) = (asked.method, asked.target);
+            let mut steps = 0;
+            let said =
+                rules.of(&HttpRequest { method, target, headers, ..HttpRequest::default() }, &mut steps);
+            match said {
+                Said::Target(t) => println!(
+                    "class {}  object {:016x}  part {}  group {}  steps {steps}",
+                    t.class, t.object, t.part, t.group
+                ),
+                Said::Malformed => println!("malformed: 400  steps {steps}"),
+                Said::Nothing => println!("no rule: 404  steps {steps}"),
+            }
+        }
         Command::Show(show) => {
             if !["registry", "grpc", "vrrp", "duties", "purges"].contains(&show.what.as_str()) {
                 return Err(format!("{:?} is none of registry, grpc, vrrp, duties, purges", show.what));
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -5,7 +5,9 @@
 use super::lines::{hex16, is_value};
 use crate::engine::host::Host;
 use crate::memory::requests::{Ask, Final, NotTaken};
+use crate::rules::table::{Rules, Said, Target};
 use crate::settings::Env;
+use std::cell::RefCell;
 use std::rc::Rc;
 
 /// Taken off a client's patience, in milliseconds: the ways to and from the client, and the answer's bytes ...
@@ -35,35 +37,77 @@
 /// The platform's front.
 pub struct Platform {
     limits: Limits,
+    /// What says which class a request is of, and its keys; without it the platform's own spelling does.
+    rules: RefCell<Option<Rc<Rules>>>,
 }
 
 impl Platform {
     /// A front with these bounds.
     pub fn new(limits: Limits) -> Self {
-        Self { limits }
+        Self { limits, rules: RefCell::default() }
+    }
+
+    /// Takes other rules for what requests ask for.
+    pub fn set_rules(&self, rules: Option<Rc<Rules>>) {
+        *self.rules.borrow_mut() = rules;
+    }
+
+    /// What a request asks for, as the platform spells it.
+    pub fn target(request: &HttpRequest) -> Said {
+        let path = request.target.split('?').next().unwrap_or_default();
+        let Some(mut steps) = path.strip_prefix("/ops/").map(|rest| rest.split('/')) else {
+            return Said::Nothing;
+        };
+        let (Some(class), Some(object)) = (steps.next(), steps.next()) else { return Said::Nothing };
+        let part = match steps.next().map(|text| text.strip_prefix("slice-")) {
+            None => Some(0),
+            Some(None) => return Said::Nothing,
+            Some(Some(digits)) => whole(digits, u32::MAX),
+        };
+        if steps.next().is_some() {
+            return Said::Nothing;
+        }
+        let group = match request.single("x-set") {
+            Ok(text) => text.map_or(Some(0), |text| whole(text, u32::MAX)),
+            Err(_) => None,
+        };
+        match (hex16(object), part, group) {
+            (Some(object), Some(part), Some(group)) => {
+                Said::Target(Target { class: class.to_string(), object, part, group })
+            }
+            _ => Said::Malformed,
+        }
     }
 
     /// What a request asks for. Guards the members, and all that shares a connection with it, against what they
     /// could not read: nothing is passed on that is not spelled plainly and within its bounds.
-    fn ask(env: &Env, request: &HttpRequest, now: f64) -> Result<Box<Ask>, HttpAnswer> {
+    fn ask(&self, env: &Env, request: &HttpRequest, now: f64) -> Result<Box<Ask>, HttpAnswer> {
         let bad = || HttpAnswer::closing(400);
         let unknown = || HttpAnswer::closing(404);
-        let path = request.target.split('?').next().unwrap_or_default();
-        let mut steps = path.strip_prefix("/ops/").ok_or_else(unknown)?.split('/');
-        let class = steps.next().and_then(|name| env.class(name));
-        let class = class.ok_or_else(unknown)?;
-        let object_text = steps.next().ok_or_else(unknown)?;
-        let object = hex16(object_text).ok_or_else(bad)?;
-        let part = match steps.next() {
-            None => 0,
-            Some(text) => {
-                let digits = text.strip_prefix("slice-").ok_or_else(unknown)?;
-                whole(digits, PART_MOST).ok_or_else(bad)?
+        let rules = self.rules.borrow().clone();
+        let said = match &rules {
+            Some(rules) => rules.of(request, &mut 0),
+            None => Self::target(request),
+        };
+        let Target { class, object, part, group } = match said {
+            Said::Target(target) => target,
+            Said::Malformed => {
+                // A class that nobody knows is told before what else is wrong.
+                let class = request.target.split(['/', '?']).nth(2).unwrap_or_default();
+                let known = rules.is_some() || env.class(class).is_some();
+                return Err(if known { bad() } else { unknown() });
             }
+            Said::Nothing => return Err(unknown()),
         };
-        if steps.next().is_some() {
-            return Err(unknown());
+        let class = env.class(&class).ok_or_else(unknown)?;
+        if part > PART_MOST || group > GROUP_MOST {
+            return Err(bad());
         }
+        // The platform's own spelling goes on as it came.
+        let object_text = match &rules {
+            None => request.target.split(['/', '?']).nth(3).unwrap_or_default().to_string(),
+            Some(_) => format!("{object:016x}"),
+        };
         let writes = env.is_write(class);
         let method = if writes { "PUT" } else { "GET" };
         if request.method != method {
@@ -81,7 +125,6 @@
         };
         let patience = number("x-patience-ms", PATIENCE_MOST)?.unwrap_or_else(|| env.deadline_ms(class));
         let size_kb = number("x-heap-kb", SIZE_MOST)?.unwrap_or(0.0);
-        let group = header("x-set")?.map_or(Some(0), |text| whole(text, GROUP_MOST)).ok_or_else(bad)?;
         let key = header("x-dedupe-key")?;
         let plain = |key: &str| key.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_');
         if key.is_some_and(|key| key.is_empty() || key.len() > KEY_MOST || !plain(key)) {
@@ -96,7 +139,7 @@
             id_text: id_text.to_string(),
             class,
             object,
-            object_text: object_text.to_string(),
+            object_text,
             part,
             group,
             size_kb,
@@ -143,7 +186,7 @@
                 _ => HttpAnswer::status(405).with("Allow", "GET"),
             });
         }
-        match Self::ask(&host.env(), request, now) {
+        match self.ask(&host.env(), request, now) {
             Ok(ask) => Intake::Ask(ask, Context::default()),
             Err(answer) => Intake::Now(answer),
         }
--- /dev/null
+++ b/tests/rules_language.rs
@@ -0,0 +1,176 @@
+//! The rules' language against the platform's own code: the same class and keys for every request, a cost that is
+//! known before, and the program serving by rules of its own.
+
+mod stand_ins;
+
+use calicobeam::rules::config::RulesConfig;
+use calicobeam::rules::table::{Rules, Said};
+use calicobeam::wire::http::HttpRequest;
+use calicobeam::wire::platform::Platform;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use stand_ins::slow_box::SlowFleet;
+use stand_ins::{folder, run, Killed};
+use std::path::Path;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+fn deployed() -> Rules {
+    RulesConfig::read(Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/rules.json"))).unwrap().1
+}
+
+/// Requests as clients send them, and as they should not.
+fn request(rng: &mut SmallRng) -> HttpRequest {
+    let mut pick = |list: &[&str]| list[rng.random_range(0..list.len())].to_string();
+    let base = pick(&["/ops/", "/ops/", "/ops/", "/ops/", "/ops", "/op/", "ops/", "//ops/", ""]);
+    let class = pick(&["video-part", "small-object", "ad-post", "none", "", "a/b"]);
+    let object = pick(&[
+        "7f3a9c21e0b4d655",
+        "00000000000000ff",
+        "7F3A9C21E0B4D655",
+        "7f3a9c21e0b4d65",
+        "",
+        "+f3a9c21e0b4d655",
+    ]);
+    let part = pick(&[
+        "",
+        "",
+        "/slice-3",
+        "/slice-0",
+        "/slice-65536",
+        "/slice-",
+        "/slice-x",
+        "/slice-1234567890",
+        "/part-3",
+        "/slice-3/",
+        "/",
+    ]);
+    let query = pick(&["", "", "?a=1", "?", "?/slice-9"]);
+    let mut headers = vec![("x-call-id".to_string(), "1".to_string())];
+    for _ in 0..rng.random_range(0..3) {
+        let mut pick = |list: &[&str]| list[rng.random_range(0..list.len())].to_string();
+        headers.push(("x-set".into(), pick(&["17", "0", "256", "", "-1", "x", "1234567890"])));
+    }
+    HttpRequest {
+        method: "GET".into(),
+        target: format!("{base}{class}/{object}{part}{query}"),
+        headers,
+        ..HttpRequest::default()
+    }
+}
+
+#[test]
+fn the_deployed_rules_give_the_same_keys_as_the_code() {
+    let rules = deployed();
+    let mut rng = SmallRng::seed_from_u64(21);
+    let (mut targets, mut malformed, mut nothing) = (0, 0, 0);
+    for _ in 0..200_000 {
+        let request = request(&mut rng);
+        let mut steps = 0;
+        let (by_rules, by_code) = (rules.of(&request, &mut steps), Platform::target(&request));
+        // An `X-Set` that is there and empty is malformed for the code, and absent for `default`.
+        let empty = request.headers.iter().any(|(n, v)| n == "x-set" && v.is_empty());
+        if !empty {
+            assert_eq!(by_rules, by_code, "{request:?}");
+        }
+        assert!(steps <= rules.cost(), "{steps} of {}", rules.cost());
+        match by_code {
+            Said::Target(_) => targets += 1,
+            Said::Malformed => malformed += 1,
+            Said::Nothing => nothing += 1,
+        }
+    }
+    assert!(targets > 2_000 && malformed > 2_000 && nothing > 2_000, "{targets} {malformed} {nothing}");
+}
+
+#[test]
+fn files_that_cannot_work_are_refused_with_the_rule_and_the_place() {
+    let file = folder("rules-bad").join("rules.json");
+    let check = |rule: &str, more: &str| {
+        std::fs::write(&file, format!(r#"{{{more}"rules":[{rule}]}}"#)).unwrap();
+        RulesConfig::read(&file).map(|_| ()).map_err(|e| e.to_string())
+    };
+    let rule = |when: &str, object: &str| {
+        format!(r#"{{"when":{:?},"class":"\"small-object\"","object":{object:?}}}"#, when)
+    };
+    assert_eq!(check(&rule("true", "hash(path)"), ""), Ok(()));
+    for (text, more, word) in [
+        (rule("path", "hash(path)"), "", "rule 1, `when`"),
+        (rule("true", "path"), "", "rule 1, `object`"),
+        (rule("true", "hash(path"), "", "at byte"),
+        (rule("true", "hash(nothing)"), "", "nothing"),
+        (rule("contains(path, query)", "hash(path)"), r#""cost_most":1000,"#, "cost"),
+        (rule("f(1) == 1", "hash(path)"), r#""define":["f(n: int) = f(n)"],"#, "calls itself"),
+        (String::new(), "", "not within 1 to 256"),
+    ] {
+        let why = check(&text, more).expect_err(&text);
+        assert!(why.contains(word), "{why} does not name {word}");
+    }
+}
+
+/// The program by rules of its own: other paths for the same classes, read again at SIGHUP; a file that can't be used
+/// changes nothing.
+#[test]
+fn the_program_serves_by_its_rules() {
+    run(async {
+        let dir = folder("rules-program");
+        let fleet = SlowFleet::start(125, 4, 64, 2).await;
+        let free = || std::net::TcpListener::bind("127.0.125.9:0").unwrap().local_addr().unwrap();
+        let listen = free();
+        let mut text =
+            std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json")).unwrap();
+        for (k, at) in (7101..=7104).enumerate() {
+            text = text.replace(&format!("127.0.0.1:{at}"), &fleet.addresses[k].to_string());
+        }
+        std::fs::write(dir.join("config.json"), text.replace("127.0.0.1:5050", &listen.to_string())).unwrap();
+        let rules = |prefix: &str| {
+            let text = format!(
+                r#"{{"rules":[{{"when":"starts(path, \"{prefix}\") && ends(path, \".jpg\")","class":"\"small-object\"",
+                    "object":"hash(lower(path))","group":"try(int(header(\"x-set\")), 0)"}}]}}"#
+            );
+            std::fs::write(dir.join("rules.json"), text).unwrap();
+        };
+        rules("/photos/");
+        let log = std::fs::File::create(dir.join("proxy.log")).unwrap();
+        let (config, file) = (dir.join("config.json"), dir.join("rules.json"));
+        let args = ["serve", "--config", config.to_str().unwrap(), "--rules", file.to_str().unwrap()];
+        let child =
+            std::process::Command::new(env!("CARGO_BIN_EXE_calicobeam")).args(args).stderr(log).spawn();
+        let program = Killed(child.unwrap());
+        while TcpStream::connect(listen).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let ask = |target: &'static str, id: u64| async move {
+            let mut stream = TcpStream::connect(listen).await.unwrap();
+            let text = format!(
+                "GET {target} HTTP/1.1\r\nHost: t\r\nX-Call-Id: {id:016x}\r\nConnection: close\r\n\r\n"
+            );
+            stream.write_all(text.as_bytes()).await.unwrap();
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await.unwrap();
+            answer.get(9..12).unwrap_or_default().to_string()
+        };
+        assert_eq!(ask("/photos/Cat.jpg", 1).await, "200");
+        assert_eq!(ask("/ops/small-object/7f3a9c21e0b4d655", 2).await, "404", "the rules alone count");
+        let hup = || {
+            let pid = program.0.id().to_string();
+            assert!(std::process::Command::new("kill").args(["-HUP", &pid]).status().unwrap().success());
+        };
+        rules("/pictures/");
+        hup();
+        let end = Instant::now() + Duration::from_secs(5);
+        let mut id = 10;
+        while ask("/pictures/cat.jpg", id).await != "200" {
+            assert!(Instant::now() < end, "the rules were not read again");
+            id += 1;
+        }
+        std::fs::write(dir.join("rules.json"), r#"{"rules":[{"when":"1","class":"1","object":"1"}]}"#)
+            .unwrap();
+        hup();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(ask("/pictures/cat.jpg", 99).await, "200", "the old rules stay");
+        let log = std::fs::read_to_string(dir.join("proxy.log")).unwrap();
+        assert!(log.contains("the old rules stay") && log.contains("rule 1, `when`"), "{log}");
+    });
+}
