Tests: one way to signal a process and to wait for its end

Need: five tests had each their own loop and their own call of kill. Change: Killed::signal and Killed::ends_well in tests/stand_ins; the assertions stay.

--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -422,6 +422,26 @@
 /// A process that ends with its test.
 pub struct Killed(pub std::process::Child);
 
+impl Killed {
+    /// Sends it a signal, `-TERM` for instance.
+    pub fn signal(&self, name: &str) {
+        let pid = self.0.id().to_string();
+        assert!(std::process::Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
+    /// Waits for its end, for ten seconds at the most; it must have ended well.
+    pub async fn ends_well(&mut self) {
+        let end = std::time::Instant::now() + Duration::from_secs(10);
+        loop {
+            if let Some(status) = self.0.try_wait().unwrap() {
+                return assert!(status.success(), "{status}");
+            }
+            assert!(std::time::Instant::now() < end, "the process does not end");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
 impl Drop for Killed {
     fn drop(&mut self) {
         let _ = self.0.kill();
