One reader of key files for VRRP, shared duties and sessions

Need: three operator files read keys beside themselves, each by its own copy of the same lines. Change: beside and keys_beside in lifecycle/config; behaviour and messages as before.

--- a/src/duties/config.rs
+++ b/src/duties/config.rs
@@ -3,7 +3,7 @@
 use super::board::Turns;
 use super::plan::Times;
 use super::slots::InstanceId;
-use crate::lifecycle::config::{address, read_json, ConfigError};
+use crate::lifecycle::config::{address, keys_beside, read_json, ConfigError};
 use crate::mac::Keys;
 use serde::Deserialize;
 use std::collections::BTreeSet;
@@ -184,9 +184,6 @@
 
     /// The keys that seal datagrams, where there is a file for them.
     pub fn keys(&self) -> Result<Option<Keys>, String> {
-        let Some(file) = &self.key_file else { return Ok(None) };
-        let file = self.path.parent().map_or(file.clone(), |dir| dir.join(file));
-        let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
-        Keys::parse(&text).map(Some).map_err(|why| format!("{}: {why}", file.display()))
+        self.key_file.as_ref().map(|file| keys_beside(&self.path, file)).transpose()
     }
 }
--- a/src/lifecycle/config.rs
+++ b/src/lifecycle/config.rs
@@ -1,5 +1,6 @@
 //! The configuration of one proxy, as the platform hands it over.
 
+use crate::mac::Keys;
 use crate::settings::Env;
 use crate::wire::frames::Known;
 use serde::Deserialize;
@@ -126,6 +127,18 @@
         .find_map(|item| keys.iter().find(|key| item.get(key.as_str()).is_none()).map(|key| (*key).clone()))
 }
 
+/// A file that is named beside another one.
+pub fn beside(path: &Path, file: &Path) -> PathBuf {
+    path.parent().map_or_else(|| file.to_path_buf(), |dir| dir.join(file))
+}
+
+/// Reads the keys of a file that is named beside another one.
+pub fn keys_beside(path: &Path, file: &Path) -> Result<Keys, String> {
+    let file = beside(path, file);
+    let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+    Keys::parse(&text).map_err(|why| format!("{}: {why}", file.display()))
+}
+
 /// An IPv4 address that is one host's own.
 pub fn address(text: &str) -> Result<SocketAddr, String> {
     match text.parse::<SocketAddr>() {
--- a/src/poor/config.rs
+++ b/src/poor/config.rs
@@ -2,7 +2,7 @@
 
 use super::session::Sessions;
 use super::shelf::ShelfBounds;
-use crate::lifecycle::config::{address, read_json, ConfigError};
+use crate::lifecycle::config::{address, beside, keys_beside, read_json, ConfigError};
 use crate::mac::Keys;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -194,7 +194,7 @@
 
     /// A file that is named beside this one.
     pub fn beside(&self, file: &Path) -> PathBuf {
-        self.file.parent().map_or_else(|| file.to_path_buf(), |dir| dir.join(file))
+        beside(&self.file, file)
     }
 
     /// Where it takes QUIC.
@@ -211,11 +211,7 @@
     pub fn sessions(&self) -> Result<Sessions, String> {
         let keys = match &self.session_keys {
             None => Keys::random(),
-            Some(file) => {
-                let file = self.beside(file);
-                let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
-                Keys::parse(&text).map_err(|why| format!("{}: {why}", file.display()))?
-            }
+            Some(file) => keys_beside(&self.file, file)?,
         };
         Ok(Sessions::new(keys, self.shelf.session_ms))
     }
--- a/src/vrrp/config.rs
+++ b/src/vrrp/config.rs
@@ -3,7 +3,7 @@
 use super::machine::Settings;
 use super::message::OWNER;
 use super::track::{TrackSpec, What};
-use crate::lifecycle::config::{address, read_json, ConfigError};
+use crate::lifecycle::config::{address, keys_beside, read_json, ConfigError};
 use crate::mac::Keys;
 use serde::Deserialize;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -205,9 +205,6 @@
 
     /// The keys that seal advertisements, read anew, where there is a file for them.
     pub fn keys(&self) -> Result<Option<Keys>, String> {
-        let Some(file) = &self.key_file else { return Ok(None) };
-        let file = self.path.parent().map_or(file.clone(), |dir| dir.join(file));
-        let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
-        Keys::parse(&text).map(Some).map_err(|why| format!("{}: {why}", file.display()))
+        self.key_file.as_ref().map(|file| keys_beside(&self.path, file)).transpose()
     }
 }
