--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -547,7 +547,10 @@
     fn run(&mut self) {
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
-            self.router.handle(micros(self.clock.now()), &event, &mut actions);
+            let now = micros(self.clock.now());
+            self.router.handle(now, &event, &mut actions);
+            // What a replay of a day counts over all proxies; off unless `CALICOBEAM_LOG` asks for this target.
+            tracing::trace!(target: "decisions", now, ?event, ?actions);
             actions.drain(..).for_each(|action| self.carry_out(action));
             self.actions = actions;
         }
