Saved retries follow a proxy's traffic; a recovered member is asked again within 5 s

At fault: RETRY_CAP let each of 100 proxies hold 20 saved retries, 50 s of earnings at 8 requests a second, all spent at once; BAD_CAP of 10 outcomes at a half-life of up to 10 s (credit()) keeps a proxy that meets a parent seldom away for up to 27 s after it is well. Change: what is saved fades over 10 s; bad evidence is capped so that it fades within 5 s at any rate. Both tests fail without the change (1.25 retries for each refused request; 9.4 s at the median until a quiet proxy asks again).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,8 +19,10 @@
 const HEALTH_PRIOR: f64 = 1.5;
 /// The same for the share of late answers of a class.
 const JAM_PRIOR: f64 = 3.0;
-/// The most bad evidence held, in outcomes: bounds how long a recovered member waits for its first trickle.
+/// The most bad evidence held, in outcomes ...
 const BAD_CAP: f64 = 10.0;
+/// ... and in time to fade, us: the longest wait of a recovered member for its first trickle at any router.
+const BAD_WAIT: f64 = 5_000_000.0;
 /// The most good evidence held, in outcomes: a long good past must not hide a sudden failure.
 const GOOD_CAP: f64 = 15.0;
 /// What a full failure leaves of the good evidence: a run of failures tells more than their share.
@@ -107,8 +109,10 @@
 const TIMEOUT_MOST_OF_LEFT: f64 = 0.85;
 /// Retries earned by each new request, so that they can't multiply overload ...
 const RETRY_EARN: f64 = 0.05;
-/// ... and the most saved up.
+/// ... the most saved up, which fades over EVIDENCE_LONGEST: a hundred routers that each hold what a busy one
+/// may would spend it all at once on the same ill source; and what there is at the start.
 const RETRY_CAP: f64 = 20.0;
+const RETRY_FIRST: f64 = 5.0;
 /// With less than this left of a request's time no attempt is worth sending, us.
 const LEAST_LEFT: Micros = 10_000;
 /// Taken off the age bound after a purge, us: the host's clock is coarse.
@@ -266,7 +270,7 @@
     counts: [HashMap<ObjectId, f32>; 2],
     counts_since: Micros,
     pace: Vec<Pace>,
-    retries: f64,
+    retries: Aged,
     /// Answers from a cache's own copy and from a fill, where notes tell.
     hits: Aged,
     fills: Aged,
@@ -306,7 +310,7 @@
             counts: Default::default(),
             counts_since: 0,
             pace: settings.classes.iter().map(Pace::of).collect(),
-            retries: RETRY_CAP,
+            retries: Aged { sum: RETRY_FIRST, at: Micros::MAX },
             hits: Aged::default(),
             fills: Aged::default(),
             origin_room: ORIGIN_ROOM_FIRST,
@@ -339,7 +343,8 @@
                 }
                 let (class, object, group, part) = (*class, *object, *group, *part);
                 let (size_kb, give_up_at, attempts) = (size_kb.max(0.0), *give_up_at, Vec::new());
-                self.retries = (self.retries + RETRY_EARN).min(RETRY_CAP);
+                let saved = self.retries.over(now, EVIDENCE_LONGEST) + RETRY_EARN;
+                self.retries = Aged { sum: saved.min(RETRY_CAP), at: now };
                 self.count(now, object);
                 let (held_only, done) = (false, false);
                 #[rustfmt::skip]
@@ -803,13 +808,13 @@
         if ok {
             m.good = Aged { sum: (had_good + good).min(GOOD_CAP), at: now };
         } else {
-            m.bad = Aged { sum: (had_bad + bad).min(BAD_CAP), at: now };
+            let most = BAD_CAP.min(HEALTH_PRIOR * (BAD_WAIT / half).exp2());
+            m.bad = Aged { sum: (had_bad + bad).min(most), at: now };
             m.good = Aged { sum: had_good * GOOD_LEFT.powf(bad.min(1.0)), at: now };
         }
     }
 
-    /// Splits the blame for a failure that names no culprit by what either has shown on its other paths: a
-    /// cache that fails with every source is the cache, a source that fails through every cache the source.
+    /// Splits the blame for a failure that names no culprit by what either has shown on its other paths.
     fn blame(&mut self, now: Micros, to: MemberId, source: Option<MemberId>, weight: f64) {
         let suspicion =
             |id: MemberId| self.members.get(&id).map_or(0.0, |m| SUSPICION_LEAST + self.bad_rate(now, m));
@@ -836,7 +841,7 @@
         let Some(req) = self.requests.get(&id) else { return };
         let left = req.give_up_at.saturating_sub(now);
         let cost = last.map_or(0.0, |(_, cost)| cost);
-        let spare = self.retries >= cost;
+        let saved = self.retries.over(now, EVIDENCE_LONGEST);
         let tries = req.attempts.len() < self.set.max_attempts.max(1) as usize;
         // Past its aim a request earns little for a whole sending time more: not where others wait for it.
         let since = req.attempts.first().map_or(0, |a| now.saturating_sub(a.sent));
@@ -847,11 +852,11 @@
         if let Some(req) = self.requests.get_mut(&id) {
             req.held_only = held_only;
         }
-        let over = left < LEAST_LEFT || !spare || !tries || vain || lacks || full;
+        let over = left < LEAST_LEFT || saved < cost || !tries || vain || lacks || full;
         if over || !self.send(now, id, actions) {
             return self.give_up(id, actions);
         }
-        self.retries -= cost;
+        self.retries = Aged { sum: saved - cost, at: now };
     }
 
     /// Share of late answers among a class's at this router.
--- /dev/null
+++ b/tests/large_fleet.rs
@@ -0,0 +1,92 @@
+//! Many routers on one test clock, each with little traffic of its own: what each may do alone is summed up and
+//! held against what the members can bear together.
+
+mod common;
+
+use calicobeam::*;
+use common::*;
+
+/// Routers of a fleet, each with its own seed, all told of the same members.
+fn routers(set: &Settings, entries: &[Listing], count: u64) -> Vec<Bench> {
+    let router = |k| {
+        let mut bench = Bench::new(set.clone(), Vec::new());
+        bench.router = Router::new(set.clone(), 1_000 * k);
+        bench.event(Event::Members { full: true, entries: entries.to_vec() });
+        bench
+    };
+    (0..count).map(router).collect()
+}
+
+/// A fleet's settings: nothing tells hits from fills, weights are not known, nobody may be probed.
+fn large() -> Settings {
+    Settings {
+        routers: 100,
+        routers_here: 8,
+        weights_known: false,
+        hit_notes: false,
+        probing: false,
+        ..settings()
+    }
+}
+
+/// A hundred routers that each had saved twenty retries spent them within a second on an origin that was already
+/// asked too much, and pushed it over: what they may send beyond first attempts follows their traffic.
+#[test]
+fn a_hundred_quiet_routers_do_not_multiply_an_overload() {
+    let mut fleet = routers(&large(), &fleet(), 100);
+    // Eight seconds of peace at eight requests a second each, in which retries are earned, then two of refusals.
+    let (mut first, mut again) = (0, 0);
+    for step in 0..80u64 {
+        for (k, bench) in fleet.iter_mut().enumerate() {
+            bench.now += 125 * MS;
+            let object = step * 100 + k as u64;
+            if step < 64 {
+                bench.path(object);
+                continue;
+            }
+            let mut actions = bench.ask(2, object);
+            let mut attempts = 0;
+            while let Some(attempt) = sent(&actions).first().cloned() {
+                actions = bench.outcome(attempt.id, attempts, Verdict::Refused, false);
+                attempts += 1;
+            }
+            first += 1;
+            again += attempts.saturating_sub(1);
+        }
+    }
+    assert_eq!(first, 1_600);
+    assert!(again <= first / 2, "{again} retries for {first} requests of the whole fleet");
+}
+
+/// A router that meets a parent less than twice a second still held its failures against it half a minute after
+/// it was well again, and with it the whole fleet stayed away.
+#[test]
+fn a_parent_that_is_well_again_is_asked_within_seconds_also_at_quiet_routers() {
+    let mut fleet = routers(&large(), &fleet(), 20);
+    let mut waited = Vec::new();
+    for (k, bench) in fleet.iter_mut().enumerate() {
+        let mut next = 1_000 * k as u64;
+        // Five requests a second. For a minute every fill from parent 11 fails; then all is well.
+        let mut turn = |failing: bool| {
+            bench.now += 200 * MS;
+            next += 1;
+            let mut actions = bench.ask(0, next);
+            let (mut attempt, mut asked) = (0, false);
+            while let Some(Sent { id, source, .. }) = sent(&actions).first().cloned() {
+                asked |= source == Some(11);
+                let ill = failing && source == Some(11);
+                let (verdict, note) =
+                    if ill { (Verdict::Error, Note::SourceFailed) } else { (Verdict::Served, Note::Filled) };
+                let took = 100 * MS;
+                actions = bench.event(Event::Outcome { id, attempt, verdict, note, took, closed: !ill });
+                attempt += 1;
+            }
+            asked
+        };
+        (0..300).for_each(|_| drop(turn(true)));
+        waited.push((0..300).position(|_| turn(false)).unwrap_or(300));
+    }
+    waited.sort_unstable();
+    // Half of them ask within seven seconds: a third of the requests are for its objects.
+    assert!(waited[10] <= 35, "turns until each of 20 routers asked it again: {waited:?}");
+}
