--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -83,7 +83,9 @@
             }
             asked
         };
-        (0..300).for_each(|_| drop(turn(true)));
+        for _ in 0..300 {
+            turn(true);
+        }
         waited.push((0..300).position(|_| turn(false)).unwrap_or(300));
     }
     waited.sort_unstable();
