A member of which nothing is known sets no example to its peers; the rule for ill sources goes

At fault: least_bad() takes the least bad rate of any peer; a new process without an outcome has 0, so that all others are ill beside it and their slices go to the origin.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -15,6 +15,8 @@
 const EVIDENCE_OUTCOMES: f64 = 10.0;
 /// ... and the longest half-life for that, us: it is also how long a recovered member waits.
 const EVIDENCE_LONGEST: f64 = 10_000_000.0;
+/// Outcomes, good or bad, from which on a member is an example to its peers: a new process has none.
+const EVIDENCE_LEAST: f64 = 0.5;
 /// Good outcomes that are taken for granted, so that one failure proves little.
 const HEALTH_PRIOR: f64 = 1.5;
 /// The same for the share of late answers of a class.
@@ -483,11 +485,12 @@
     }
 
     /// The least share of bad outcomes among a role's peers. A lone parent, or all of them, may limp while
-    /// the origin is well: it is their peer as a source.
+    /// the origin is well: it is their peer as a source. One that nothing is known of is no example to others.
     fn least_bad(&self, now: Micros, role: Role) -> f64 {
         let peer = |m: &Member| m.line.role == role || (role == Role::Parent && m.line.role == Role::Origin);
-        let peers = self.members.values().filter(|m| m.able() && peer(m));
-        peers.map(|m| self.bad_rate(now, m)).fold(1.0, f64::min)
+        let known = |m: &&Member| m.asked.over(now, EVIDENCE_LONGEST) >= EVIDENCE_LEAST;
+        let peers = self.members.values().filter(|m| m.able() && peer(m)).filter(known);
+        peers.map(|m| self.bad_rate(now, m)).min_by(f64::total_cmp).unwrap_or(0.0)
     }
 
     /// Members of a role that may get new work, with their share: the lesser of slow start and health.
@@ -880,11 +883,8 @@
         let jam = self.jam(now, req.class);
         let least = if jam > JAM { SHED_VALUE_JAMMED } else { SHED_VALUE.0 };
         let bound = LOAD_SHED * (class.worth / own / mean).clamp(least, SHED_VALUE.1);
-        // With every source failing, what needs a fill would only push the origin behind them over.
-        let ill = self.least_bad(now, Role::Parent);
-        let lost = ill < 1.0 && (ill - BAD_TOLERATED) / (1.0 - BAD_TOLERATED) > unit(now, req.object);
         let load = self.load(now, cache);
-        (load > bound, lost || load > bound * (1.0 - LATE_SHED * jam).max(SHED_LEAST))
+        (load > bound, load > bound * (1.0 - LATE_SHED * jam).max(SHED_LEAST))
     }
 
     fn send(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) -> bool {
