--- a/src/policy.rs
+++ b/src/policy.rs
@@ -485,7 +485,7 @@
     }
 
     /// The least share of bad outcomes among a role's peers. A lone parent, or all of them, may limp while
-    /// the origin is well: it is their peer as a source. One that nothing is known of is no example to others.
+    /// the origin is well: it is their peer as a source. What nothing is known of is no example.
     fn least_bad(&self, now: Micros, role: Role) -> f64 {
         let peer = |m: &Member| m.line.role == role || (role == Role::Parent && m.line.role == Role::Origin);
         let known = |m: &&Member| m.asked.over(now, EVIDENCE_LONGEST) >= EVIDENCE_LEAST;
