A cache's load less what chance may have added; shorter waits after refusals

At fault: load() takes a count of few for the mean it was drawn from; WAIT_HINT of 300 ms brings a try back when its aim of 300 to 600 ms, counted from the first one, is over. Change: load() takes off a standard deviation of the unseen part (Poisson), none where one proxy sees all; hints are 60 to 180 ms. The test fails without it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -121,8 +121,8 @@
 const PURGE_MARGIN: Micros = 10_000;
 /// Kept beyond the stated end of a purge, us, for the same reason.
 const PURGE_EXTRA: Micros = 500_000;
-/// Wait hint with a refusal, us, before jitter.
-const WAIT_HINT: f64 = 300_000.0;
+/// Wait hint with a refusal, us, before jitter: a try that comes too late for the aim earns little.
+const WAIT_HINT: f64 = 120_000.0;
 /// Failures in a row from which on a cache is probed, and probes without an answer that say it is down.
 const PROBE_RUN: u32 = 2;
 /// Least time between probes of a member that answers, us: probes have a price.
@@ -136,9 +136,7 @@
 /// Wait before asking again for the list after a failed call, us, and its timer's token.
 const LIST_RETRY: Micros = 1_000_000;
 const LIST_TIMER: u64 = 0;
-/// Part of the fills that no parent takes which the origin gets at first ...
-const ORIGIN_ROOM_FIRST: f64 = 1.0;
-/// ... what an answer in time adds, a failure leaves, and the least that stays, to find out when it is well.
+/// What an answer in time adds to the origin's room, a failure leaves, and the least, to see when it is well.
 const ORIGIN_ROOM_MORE: f64 = 0.03;
 const ORIGIN_ROOM_LESS: f64 = 0.8;
 const ORIGIN_ROOM_LEAST: f64 = 0.05;
@@ -276,7 +274,7 @@
     /// Answers from a cache's own copy and from a fill, where notes tell.
     hits: Aged,
     fills: Aged,
-    /// Part of what no parent takes that may ask the origin.
+    /// Part of what no parent takes that may ask the origin; all of it at first.
     origin_room: f64,
 }
 
@@ -315,7 +313,7 @@
             retries: Aged { sum: RETRY_FIRST, at: Micros::MAX },
             hits: Aged::default(),
             fills: Aged::default(),
-            origin_room: ORIGIN_ROOM_FIRST,
+            origin_room: 1.0,
             set: settings,
         }
     }
@@ -348,10 +346,9 @@
                 let saved = self.retries.over(now, EVIDENCE_LONGEST) + RETRY_EARN;
                 self.retries = Aged { sum: saved.min(RETRY_CAP), at: now };
                 self.count(now, object);
-                let (held_only, done) = (false, false);
                 #[rustfmt::skip]
                 self.requests.insert(*id, Pending {
-                    class, object, group, part, size_kb, give_up_at, attempts, held_only, done,
+                    class, object, group, part, size_kb, give_up_at, attempts, held_only: false, done: false,
                 });
                 self.advance(now, *id, None, actions);
             }
@@ -552,7 +549,8 @@
     }
 
     /// Transfers at a cache over what fits there, as far as this router's own tell. One of many routers sees
-    /// few of them, and by chance: its count is drawn to what the location's caches together let expect.
+    /// few of them, and by chance: its count is drawn to what the location's caches together let expect, and
+    /// a standard deviation of what it does not see is taken off, as Poisson counts have it.
     fn load(&self, now: Micros, id: MemberId) -> f64 {
         let Some(m) = self.members.get(&id) else { return f64::MAX };
         let room = |m: &Member| m.room * self.warmth(now, m) / f64::from(self.set.routers_here.max(1));
@@ -560,7 +558,9 @@
         let here = || self.members.values().filter(here);
         let out: f64 = here().map(|m| f64::from(m.inflight)).sum();
         let mean = (out * room(m) / here().map(room).sum::<f64>()).max(0.0);
-        mean * (LOAD_DOUBT + f64::from(m.inflight)) / (LOAD_DOUBT + mean) / room(m)
+        let unseen = 1.0 - 1.0 / f64::from(self.set.routers_here.max(1));
+        let sure = 1.0 - unseen / (out + 1.0).sqrt();
+        sure * mean * (LOAD_DOUBT + f64::from(m.inflight)) / (LOAD_DOUBT + mean) / room(m)
     }
 
     /// The location's cache for an object: the first in hash order whose share exceeds the object's hash,
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -92,3 +92,20 @@
     // Half of them ask within seven seconds: a third of the requests are for its objects.
     assert!(waited[10] <= 35, "turns until each of 20 routers asked it again: {waited:?}");
 }
+
+/// One of eight routers that had eleven answers out at a cache took them for a sample of ninety, and refused one request
+/// in twenty on days without any fault: what a few tell by chance is not a load.
+#[test]
+fn a_few_answers_out_by_chance_are_no_load() {
+    let mut one = routers(&large(), &fleet(), 1).remove(0);
+    let mut refused_at = None;
+    for n in 1..=40 {
+        one.now += MS;
+        if sent(&one.ask(0, 77)).is_empty() {
+            refused_at = Some(n);
+            break;
+        }
+    }
+    // Forty would be 320 at a cache taken to bear four: that many are refused long before.
+    assert!(refused_at.is_some_and(|n| (15..=25).contains(&n)), "{refused_at:?}");
+}
