--- a/src/policy.rs
+++ b/src/policy.rs
@@ -13,7 +13,7 @@
 /// Outcomes that a member's half-life should hold: where one router sends a member less than one request a
 /// second, evidence that fades by the clock alone never adds up to a verdict ...
 const EVIDENCE_OUTCOMES: f64 = 10.0;
-/// ... and the longest half-life for that, us: it is also how long a recovered member waits.
+/// ... and the longest half-life for that, us.
 const EVIDENCE_LONGEST: f64 = 10_000_000.0;
 /// Outcomes, good or bad, from which on a member is an example to its peers: a new process has none.
 const EVIDENCE_LEAST: f64 = 0.5;
