--- a/src/policy.rs
+++ b/src/policy.rs
@@ -548,18 +548,17 @@
         (fills + FILL_PRIOR) / (hits + fills + FILL_PRIOR)
     }
 
-    /// Transfers at a cache over what fits there, as far as this router's own tell. One of many routers sees
-    /// few of them, and by chance: its count is drawn to what the location's caches together let expect, and
-    /// a standard deviation of what it does not see is taken off, as Poisson counts have it.
+    /// they are drawn to the location's mean, less a standard deviation (Poisson) of what is not seen.
+    /// they are drawn to the location's mean, less a standard deviation (Poisson) of what it does not see.
     fn load(&self, now: Micros, id: MemberId) -> f64 {
         let Some(m) = self.members.get(&id) else { return f64::MAX };
-        let room = |m: &Member| m.room * self.warmth(now, m) / f64::from(self.set.routers_here.max(1));
+        let seats = f64::from(self.set.routers_here.max(1));
+        let room = |m: &Member| m.room * self.warmth(now, m) / seats;
         let here = |m: &&Member| m.line.role == Role::Cache && m.line.life == Life::Live;
         let here = || self.members.values().filter(here);
         let out: f64 = here().map(|m| f64::from(m.inflight)).sum();
         let mean = (out * room(m) / here().map(room).sum::<f64>()).max(0.0);
-        let unseen = 1.0 - 1.0 / f64::from(self.set.routers_here.max(1));
-        let sure = 1.0 - unseen / (out + 1.0).sqrt();
+        let sure = 1.0 - (1.0 - 1.0 / seats) / (out + 1.0).sqrt();
         sure * mean * (LOAD_DOUBT + f64::from(m.inflight)) / (LOAD_DOUBT + mean) / room(m)
     }
 
@@ -817,7 +816,8 @@
         }
     }
 
-    /// Splits the blame for a failure that names no culprit by what either has shown on its other paths.
+    /// Splits the blame for a failure that names no culprit by what either has shown on its other paths: a
+    /// cache that fails with every source is the cache, a source that fails through every cache the source.
     fn blame(&mut self, now: Micros, to: MemberId, source: Option<MemberId>, weight: f64) {
         let suspicion =
             |id: MemberId| self.members.get(&id).map_or(0.0, |m| SUSPICION_LEAST + self.bad_rate(now, m));
