--- a/src/policy.rs
+++ b/src/policy.rs
@@ -548,8 +548,8 @@
         (fills + FILL_PRIOR) / (hits + fills + FILL_PRIOR)
     }
 
-    /// they are drawn to the location's mean, less a standard deviation (Poisson) of what is not seen.
-    /// they are drawn to the location's mean, less a standard deviation (Poisson) of what it does not see.
+    /// Transfers at a cache over what fits there, by this router's own. One of many sees few, by chance: they
+    /// are drawn to the location's mean, less a standard deviation (Poisson) of what it does not see.
     fn load(&self, now: Micros, id: MemberId) -> f64 {
         let Some(m) = self.members.get(&id) else { return f64::MAX };
         let seats = f64::from(self.set.routers_here.max(1));
