Members' connections: answers twice, writes that find no room, key windows to the first byte

And a write that failed ended the driver while a whole answer lay unread: it is read first. - policy may_repeat/give_up: the window of a key was looked at when the module decided, not at the first byte (a dial takes up to 400 ms), and what may have run was refused as harmless after its window. Action::Send has start_by. - connections.rs place(): with fewer streams a connection than 4 the bound was not kept, and SIGHUP did not change it.

--- a/src/bin/calicobeam-adapter/wire.rs
+++ b/src/bin/calicobeam-adapter/wire.rs
@@ -276,7 +276,7 @@
             Action::Send { id, to, source: None, timeout, .. } => {
                 Self::Place { i, request_id: hex(id), cache: to, cap_us: timeout }
             }
-            Action::Send { id, to, source: Some(source), join, renew, max_age, keep, timeout } => {
+            Action::Send { id, to, source: Some(source), join, renew, max_age, keep, timeout, .. } => {
                 Self::LookAndFill {
                     i,
                     request_id: hex(id),
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -144,6 +144,13 @@
         self.list(full, targets);
     }
 
+    /// Takes the members that can be read in an event of the bulletin that can't be read whole. Its number stays open.
+    pub fn hear_part(&mut self, targets: Vec<Target>) {
+        if !self.registry && !targets.is_empty() {
+            self.hear_roster(false, targets);
+        }
+    }
+
     /// Turns fleet purges on: from now on their ledger bounds every attempt's age and judges every answer.
     pub fn set_guard(&mut self, guard: Guard) -> &mut Guard {
         self.purge.insert(guard)
@@ -209,6 +216,7 @@
     pub fn retune(&mut self, fresh: Env) {
         self.env = Rc::new(fresh.after(&self.env, |class| self.requests.uses(class)));
         self.router.retune(self.env.settings());
+        self.connections.set_streams(self.env.streams_per_connection());
         let targets = self.roster.all_listed().cloned().collect();
         self.list(true, targets);
     }
@@ -427,11 +435,12 @@
         let Some(c) = self.connections.get_mut(conn) else { return };
         (c.read_ms, c.used_ms, c.unheard) = (now, now, 0);
         let Some(id) = c.out.remove(&reply.id) else {
-            // An answer that crossed a DROP, or to nothing that was asked here: no client gets it.
-            c.given_up.remove(&reply.id);
+            // An answer that crossed a DROP, a second one, or one to nothing that was asked here: no client gets it.
             self.counters.member_late += 1;
             return;
         };
+        // Guards a later attempt of the same request, which has the same id: the answer may come a second time.
+        c.close_to(id.0);
         let (verdict, counter) = match reply.word {
             Word::Ack | Word::Nomod => (Verdict::Served, &mut self.counters.member_ok),
             Word::Noent => (Verdict::Miss, &mut self.counters.member_miss),
@@ -448,11 +457,13 @@
         }
         if verdict == Verdict::Served {
             let tag = reply.tag;
-            // A member says that the client's copy holds only where the request named that copy.
+            // A member says that the client's copy holds only where the request named that very copy.
             let same = reply.word == Word::Nomod;
-            if same && self.requests.get(id.0).is_some_and(|ask| ask.cached.is_none()) {
-                self.settle(id, Verdict::Error);
-                return self.run();
+            let named = |ask: &Ask| ask.cached.is_some() && (tag.is_none() || tag == ask.cached);
+            if same && self.requests.get(id.0).is_some_and(|ask| !named(ask)) {
+                self.settle(id, Verdict::Spoilt);
+                self.run();
+                return self.effects.push_back(Effect::Wake(conn));
             }
             let answer = if same {
                 Final::Same { tag: tag.unwrap_or_default() }
@@ -559,16 +570,18 @@
     fn carry_out(&mut self, action: Action) {
         let now = self.clock.now();
         match action {
-            Action::Send { id, to, source, join, renew, max_age, keep, timeout } => {
+            Action::Send { id, to, source, join, renew, max_age, keep, timeout, start_by } => {
                 let Some(number) = self.requests.number(id) else { return };
                 self.counters.attempts += 1;
                 let (max_age_ms, due_ms) = (millis(max_age), now + millis(timeout));
+                let start_by_ms = millis(start_by);
                 let source = source.filter(|s| *s != to);
                 let (conn, stage, sent_ms, moves) = (0, Stage::Queued, now, 0);
                 let id_text = self.requests.get(id).map(|ask| ask.id_text.clone()).unwrap_or_default();
                 #[rustfmt::skip]
                 let attempt = Attempt {
-                    id_text, to, source, join, renew, max_age_ms, keep, sent_ms, due_ms, conn, stage, moves,
+                    id_text, to, source, join, renew, max_age_ms, keep, sent_ms, due_ms, start_by_ms, conn, stage,
+                    moves,
                 };
                 self.place(now, (id, number), attempt);
             }
@@ -661,13 +674,25 @@
         }
     }
 
+    /// The driver could not write the first byte of what [`Self::next_write`] gave it last: the attempt waits on, and is
+    /// looked at once more before its first byte. What else it was is to be written as it is.
+    pub fn unwritten(&mut self, conn: ConnId, request: RequestId) {
+        let Some(c) = self.connections.get_mut(conn) else { return };
+        let Some(id) = c.out.remove(&request) else { return };
+        c.queue.push_front(id);
+        if let Some(attempt) = self.attempts.get_mut(id) {
+            attempt.stage = Stage::Queued;
+            self.counters.attempts_written -= 1;
+        }
+    }
+
     /// Marks an attempt as written from now on, and words it; none if it is stale.
     fn written(&mut self, now: f64, id: AttemptId) -> Option<Get> {
         let ask = self.requests.get(id.0)?;
         let attempt = self.attempts.get_mut(id)?;
         let able = |member: MemberId| self.roster.address(member).is_some();
         let left = attempt.due_ms.min(ask.give_up_ms) - now;
-        if !able(attempt.to) || !attempt.source.is_none_or(able) || left < 1.0 {
+        if !able(attempt.to) || !attempt.source.is_none_or(able) || left < 1.0 || now >= attempt.start_by_ms {
             return None;
         }
         // A copy ages while the attempt waits; 0 would say any age that the class allows.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -308,6 +308,8 @@
         keep: u8,
         /// Time-out of the attempt.
         timeout: Micros,
+        /// When its first byte must be out: later it could run again what has run. The host sends it no later.
+        start_by: Micros,
     },
     /// Final answer: refused; trying again does no harm.
     Refuse {
--- a/src/memory/attempts.rs
+++ b/src/memory/attempts.rs
@@ -38,6 +38,8 @@
     pub sent_ms: f64,
     /// When its time is over.
     pub due_ms: f64,
+    /// When its first byte must be out: later it might run what has run before.
+    pub start_by_ms: f64,
     /// Its connection.
     pub conn: ConnId,
     /// Where it stands.
--- a/src/memory/connections.rs
+++ b/src/memory/connections.rs
@@ -7,8 +7,8 @@
 /// A connection's number; never used again.
 pub type ConnId = u64;
 
-/// Requests given up on a connection that are remembered there.
-const GIVEN_UP_MOST: usize = 256;
+/// Requests whose attempt on a connection is over that are remembered there.
+const OVER_MOST: usize = 256;
 
 /// A connection as the engine sees it.
 #[derive(Debug, Default)]
@@ -25,9 +25,10 @@
     pub out: HashMap<RequestId, AttemptId>,
     /// Requests to be given up.
     pub drops: VecDeque<String>,
-    /// Requests given up here whose answer may still come.
-    pub given_up: HashSet<RequestId>,
-    given_up_order: VecDeque<RequestId>,
+    /// Requests whose attempt here is over while they may be asked again: an answer to it may still come, for the first
+    /// time or once more.
+    over: HashSet<RequestId>,
+    over_order: VecDeque<RequestId>,
     /// When something was last written or read.
     pub used_ms: f64,
     /// Attempts that timed out here since something was last read.
@@ -42,25 +43,30 @@
         self.queue.len() + self.out.len()
     }
 
-    /// Whether a request can go onto it: guards against an answer to an attempt given up being taken for that
-    /// of a later attempt of the same request, which has the same id.
+    /// Whether a request can go onto it: guards against an answer to an earlier attempt, late or a second time, being
+    /// taken for that of a later attempt of the same request, which has the same id.
     fn takes(&self, id: RequestId) -> bool {
         let queued = || self.queue.iter().any(|(queued, _)| *queued == id);
-        !self.closing && !self.out.contains_key(&id) && !self.given_up.contains(&id) && !queued()
+        !self.closing && !self.out.contains_key(&id) && !self.over.contains(&id) && !queued()
     }
 
-    /// Remembers that a request was given up here.
-    pub fn give_up(&mut self, id: RequestId, text: String) {
-        self.drops.push_back(text);
-        if self.given_up.insert(id) {
-            self.given_up_order.push_back(id);
+    /// Remembers that a request's attempt here is over.
+    pub fn close_to(&mut self, id: RequestId) {
+        if self.over.insert(id) {
+            self.over_order.push_back(id);
         }
-        while self.given_up_order.len() > GIVEN_UP_MOST {
-            if let Some(old) = self.given_up_order.pop_front() {
-                self.given_up.remove(&old);
+        while self.over_order.len() > OVER_MOST {
+            if let Some(old) = self.over_order.pop_front() {
+                self.over.remove(&old);
             }
         }
     }
+
+    /// Remembers that a request was given up here, and that the member is to be told.
+    pub fn give_up(&mut self, id: RequestId, text: String) {
+        self.drops.push_back(text);
+        self.close_to(id);
+    }
 }
 
 /// How many connections there may be, and how many requests on each.
@@ -106,13 +112,12 @@
         let mine = || self.all.iter().filter(|(_, c)| c.member == member);
         let best = mine().filter(|(_, c)| c.takes(id)).min_by_key(|(k, c)| (c.load(), !c.up, **k));
         let best = best.map(|(k, c)| (*k, c.load()));
+        let Bounds { spread, streams, .. } = self.bounds;
         // What is idle and closing ends at once, and counts no more.
         let held = self.all.values().filter(|c| !(c.closing && c.up && c.load() == 0)).count();
         let room = held < self.bounds.total && mine().count() < self.bounds.member;
         match best {
-            Some((conn, load)) if load < self.bounds.spread || (!room && load < self.bounds.streams) => {
-                Place::On(conn)
-            }
+            Some((conn, load)) if load < streams && (load < spread || !room) => Place::On(conn),
             _ if room => {
                 self.next += 1;
                 let fresh = Connection { member, used_ms: now, read_ms: now, ..Connection::default() };
@@ -135,6 +140,11 @@
         Some(*conn)
     }
 
+    /// Takes another bound on the requests of a connection.
+    pub fn set_streams(&mut self, streams: usize) {
+        self.bounds.streams = streams;
+    }
+
     /// A connection.
     pub fn get_mut(&mut self, conn: ConnId) -> Option<&mut Connection> {
         self.all.get_mut(&conn)
@@ -208,7 +218,7 @@
         assert_eq!(all.place(7, 2, 0.0), Place::On(conn));
         assert_eq!(all.place(7, 1, 0.0), Place::New(conn + 1));
         let c = all.get_mut(conn).unwrap();
-        (10..10 + 2 * GIVEN_UP_MOST as u64).for_each(|id| c.give_up(id, String::new()));
-        assert_eq!(c.given_up.len(), GIVEN_UP_MOST);
+        (10..10 + 2 * OVER_MOST as u64).for_each(|id| c.give_up(id, String::new()));
+        assert_eq!(c.over.len(), OVER_MOST);
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -648,24 +648,28 @@
         parent.map(|p| (p, Some(origin.unwrap_or(p)))).or_else(|| spare().map(|o| (o, Some(o))))
     }
 
+    /// Until when doing a request once more is harmless; later, a keyed one that has run may run again.
+    fn repeats_until(&self, req: &Pending) -> Micros {
+        let class = &self.set.classes[req.class];
+        match (req.attempts.iter().find(|a| a.may_have_run), class.repeat) {
+            (None, _) | (_, Repeat::Safe) => Micros::MAX,
+            (Some(first), Repeat::Keyed) => first.sent + class.key_window,
+            (Some(_), Repeat::Unsafe) => 0,
+        }
+    }
+
     /// Whether the rule on repeats lets another attempt go to `to`.
     fn may_repeat(&self, now: Micros, req: &Pending, to: MemberId) -> bool {
-        let class = &self.set.classes[req.class];
         let Some(first) = req.attempts.iter().find(|a| a.may_have_run) else { return true };
-        match class.repeat {
-            Repeat::Safe => true,
-            Repeat::Unsafe => false,
-            Repeat::Keyed => {
-                let (a, b) = (self.members.get(&first.to), self.members.get(&to));
-                let same = |f: fn(&Member) -> u32| a.map(f).zip(b.map(f)).is_some_and(|(x, y)| x == y);
-                let scope = match class.key_scope {
-                    KeyScope::All => true,
-                    KeyScope::Zone => first.to == to || same(|m| m.line.zone),
-                    KeyScope::Cell => first.to == to || same(|m| m.line.cell),
-                };
-                scope && now < first.sent + class.key_window
-            }
-        }
+        let (a, b) = (self.members.get(&first.to), self.members.get(&to));
+        let same = |f: fn(&Member) -> u32| a.map(f).zip(b.map(f)).is_some_and(|(x, y)| x == y);
+        let class = &self.set.classes[req.class];
+        let scope = match class.key_scope {
+            KeyScope::All => true,
+            KeyScope::Zone => first.to == to || same(|m| m.line.zone),
+            KeyScope::Cell => first.to == to || same(|m| m.line.cell),
+        };
+        now < self.repeats_until(req) && (scope || class.repeat == Repeat::Safe)
     }
 
     /// The time that a request's own sending takes, us: by its size, or as its class's requests took.
@@ -857,7 +861,7 @@
         }
         let over = left < LEAST_LEFT || saved < cost || !tries || vain || lacks || full;
         if over || !self.send(now, id, actions) {
-            return self.give_up(id, actions);
+            return self.give_up(now, id, actions);
         }
         self.retries = Aged { sum: saved - cost, at: now };
     }
@@ -911,7 +915,8 @@
         let again = if self.asked(req.object) > 1.0 { RANKS.1 } else { RANKS.0 };
         let keep = if class.uncacheable { 0 } else { again };
         let (join, renew) = (self.set.joins, class.fresh_for > 0 && max_age >= class.fresh_for);
-        actions.push(Action::Send { id, to, source, join, renew, max_age, keep, timeout });
+        let start_by = self.repeats_until(req);
+        actions.push(Action::Send { id, to, source, join, renew, max_age, keep, timeout, start_by });
         self.spend(now, to, mean_work);
         if let Some(source) = source.filter(|s| *s != to) {
             self.spend(now, source, fill_work);
@@ -968,15 +973,11 @@
     }
 
     /// The final answer, at once: refused where trying again is harmless, else failed.
-    fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+    fn give_up(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let Some(req) = self.requests.get(&id) else { return };
         let class = &self.set.classes[req.class];
-        let ran = req.attempts.iter().any(|a| a.may_have_run);
-        let harmless = match class.repeat {
-            Repeat::Safe => true,
-            Repeat::Keyed => !ran || class.key_scope == KeyScope::All,
-            Repeat::Unsafe => !ran,
-        };
+        let until = self.repeats_until(req);
+        let harmless = now < until && (until == Micros::MAX || class.key_scope == KeyScope::All);
         if harmless {
             self.rng = self.rng.wrapping_add(1);
             let wait = (WAIT_HINT * (0.5 + unit(self.rng, 2))) as Micros;
--- a/src/wire/cache.rs
+++ b/src/wire/cache.rs
@@ -1,23 +1,29 @@
 //! The driver of a connection to a pop cache.
 
-use super::lines::LineCodec;
+use super::lines::{hex16, Command, LineCodec};
 use super::WireError;
 use crate::clock::span;
 use crate::engine::host::Host;
 use crate::engine::Next;
 use crate::memory::connections::ConnId;
-use futures_util::{SinkExt, StreamExt};
+use bytes::BytesMut;
+use futures_util::StreamExt;
+use std::io::ErrorKind;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::timeout;
-use tokio_util::codec::{FramedRead, FramedWrite};
+use tokio_util::codec::{Encoder, FramedRead};
 
 /// How long one write may take, in milliseconds: a member that reads nothing for so long is as good as gone.
 const WRITE_MS: f64 = 2_000.0;
 
+/// How long, in milliseconds, what came before a connection broke is still read: the machine holds it already.
+const LAST_READ_MS: f64 = 100.0;
+
 /// How often a connection on which nothing whole comes is looked at, in milliseconds. An answer that has stopped in
 /// its middle between two looks will not go on, and neither will those that wait behind it.
 const STALL_LOOK_MS: f64 = 200.0;
@@ -33,10 +39,18 @@
     host.with(|engine| engine.connected(conn));
     let (source, sink) = stream.into_split();
     let source = FramedRead::new(source, LineCodec::default());
-    let sink = FramedWrite::new(sink, LineCodec::default());
+    let mut reading = Box::pin(read(host, conn, source));
     let end = tokio::select! {
-        end = read(host, conn, source) => end,
-        end = write(host, conn, sink, waker) => end,
+        biased;
+        end = &mut reading => end,
+        end = write(host, conn, sink, waker) => match end {
+            Ok(()) => Ok(()),
+            // Guards answers that came whole before the connection broke: what they answer has not been lost.
+            Err(broken) => match timeout(span(LAST_READ_MS), &mut reading).await {
+                Ok(Err(error)) => Err(error),
+                Ok(Ok(())) | Err(_) => Err(broken),
+            },
+        },
     };
     match &end {
         Err(error @ (WireError::Malformed(_) | WireError::TooLarge(_))) => {
@@ -95,17 +109,43 @@
 async fn write(
     host: &Rc<Host>,
     conn: ConnId,
-    mut sink: FramedWrite<OwnedWriteHalf, LineCodec>,
+    mut sink: OwnedWriteHalf,
     waker: &Notify,
 ) -> Result<(), WireError> {
+    let (mut codec, mut bytes) = (LineCodec::default(), BytesMut::new());
     loop {
-        match host.with(|engine| engine.next_write(conn)) {
-            Next::Write(command) => match timeout(span(WRITE_MS), sink.send(command)).await {
-                Ok(sent) => sent?,
-                Err(_) => return Ok(()),
-            },
-            Next::Idle => waker.notified().await,
+        let command = match host.with(|engine| engine.next_write(conn)) {
+            Next::Write(command) => command,
+            Next::Idle => {
+                waker.notified().await;
+                continue;
+            }
             Next::Close => return Ok(()),
+        };
+        let request = match &command {
+            Command::Get(get) => hex16(&get.id),
+            Command::Drop(_) => None,
+        };
+        codec.encode(command, &mut bytes)?;
+        match (sink.try_write(&bytes), request) {
+            (Ok(written), _) => drop(bytes.split_to(written)),
+            // Guards the rules on drains, leavings and deadlines against a member that reads nothing: what has no byte
+            // out yet goes back, and is looked at again when there is room for it.
+            (Err(error), Some(request)) if error.kind() == ErrorKind::WouldBlock => {
+                bytes.clear();
+                host.with(|engine| engine.unwritten(conn, request));
+                match timeout(span(WRITE_MS), sink.writable()).await {
+                    Ok(room) => room?,
+                    Err(_) => return Ok(()),
+                }
+                continue;
+            }
+            (Err(error), _) if error.kind() == ErrorKind::WouldBlock => {}
+            (Err(error), _) => return Err(error.into()),
+        }
+        match timeout(span(WRITE_MS), sink.write_all_buf(&mut bytes)).await {
+            Ok(written) => written?,
+            Err(_) => return Ok(()),
         }
     }
 }
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -14,6 +14,19 @@
 
 const START: f64 = 1_764_576_000_000.0;
 
+/// Settings with a bound on a connection's requests.
+fn env(streams: u32) -> Env {
+    let text = r#"{"classes":[{"name":"clip","deadlineUs":5000000,"promiseUs":600000,"semantics":"pure",
+            "worth":2.0},{"name":"post","deadlineUs":3000000,"promiseUs":700000,"semantics":"side_effect",
+            "worth":3.0},{"name":"order","deadlineUs":3000000,"promiseUs":700000,"semantics":"token",
+            "dedupScope":"all","windowUs":400000,"worth":3.0}],"familyInfo":{"uncached":[false,true,true],"mayPassBy":true,"midKind":1,"rootKind":2,
+            "purgeDoneUs":6000000,"seatsByZone":[0,1]},"localities":["hub","town"],"locality":"town",
+            "skus":["box","parent","origin"],"siblings":1,"policyLimits":{"cancelling":true,
+            "connectTimeoutUs":400000,"sendCap":8,"streamsPerConn":STREAMS,"retryAfter":true,
+            "maxRetryAfterUs":500000}}"#;
+    simd_json::from_slice(&mut text.replace("STREAMS", &streams.to_string()).into_bytes()).unwrap()
+}
+
 struct Bench {
     clock: Clock,
     engine: Engine,
@@ -23,16 +36,7 @@
 impl Bench {
     /// An engine with these members.
     fn new(ids: &[u32]) -> Self {
-        let mut text =
-            br#"{"classes":[{"name":"clip","deadlineUs":5000000,"promiseUs":600000,"semantics":"pure",
-            "worth":2.0},{"name":"post","deadlineUs":3000000,"promiseUs":700000,"semantics":"side_effect",
-            "worth":3.0}],"familyInfo":{"uncached":[false,true],"mayPassBy":true,"midKind":1,"rootKind":2,
-            "purgeDoneUs":6000000,"seatsByZone":[0,1]},"localities":["hub","town"],"locality":"town",
-            "skus":["box","parent","origin"],"siblings":1,"policyLimits":{"cancelling":true,
-            "connectTimeoutUs":400000,"sendCap":8,"streamsPerConn":4,"retryAfter":true,
-            "maxRetryAfterUs":500000}}"#
-                .to_vec();
-        let env: Env = simd_json::from_slice(&mut text).unwrap();
+        let env = env(4);
         let clock = Clock::manual(START);
         let connections = Bounds { total: 8, member: 4, spread: 4, streams: 4 };
         let engine = Engine::new(clock.clone(), Rc::new(env), 7, EngineBounds { requests: 9, connections });
@@ -214,6 +218,107 @@
     assert!(b.answers().iter().all(|(_, answer)| !matches!(answer, Final::Same { .. })));
 }
 
+/// The copy that holds must be the very one that the request named.
+#[test]
+fn a_member_cannot_say_that_another_copy_holds_than_the_one_named() {
+    for (told, holds) in [("t", true), ("u", false)] {
+        let mut b = Bench::new(&[1, PARENT, 9]);
+        b.take(Ask { id: 1, object: 42, cached: Some(told.into()), ..Ask::default() });
+        let (conn, _) = b.opened()[0];
+        b.engine.connected(conn);
+        assert_eq!(b.get(conn).unwrap().cached.as_deref(), Some(told));
+        b.reply(conn, 1, Word::Nomod);
+        assert_eq!(b.answers().iter().any(|(_, a)| matches!(a, Final::Same { .. })), holds, "{told}");
+    }
+}
+
+/// A member that answers twice: the second answer must not pass for that of a later attempt of the same request, which
+/// has the same id. So a request never goes twice onto one connection.
+#[test]
+fn a_second_answer_to_an_attempt_that_is_over_ends_no_later_attempt() {
+    let mut b = Bench::new(&[1, PARENT, 9]);
+    b.ask(1, 0);
+    let (conn, member) = b.opened()[0];
+    b.engine.connected(conn);
+    b.get(conn).unwrap();
+    // Nothing was named, so it is spoilt, and the same cache is asked again.
+    b.reply(conn, 1, Word::Nomod);
+    let (second, again) = b.opened()[0];
+    assert_eq!((member, again), (1, 1));
+    assert_ne!(second, conn);
+    assert_eq!(b.get(conn), None);
+    b.engine.connected(second);
+    b.get(second).unwrap();
+    b.reply(conn, 1, Word::Ack);
+    assert!(b.answers().is_empty(), "it crossed the end of its attempt");
+    b.reply(second, 1, Word::Ack);
+    assert_eq!(b.answers().len(), 1);
+    assert_eq!((b.engine.counters.member_late, b.engine.owed()), (1, 0));
+}
+
+/// A member that reads nothing: what has no byte out waits on, and every rule is looked at again before its first byte.
+#[test]
+fn what_could_not_be_written_is_looked_at_again_before_its_first_byte() {
+    let waiting = || {
+        let mut b = Bench::new(&[1, PARENT, 9]);
+        b.ask(1, 0);
+        let (conn, _) = b.opened()[0];
+        b.engine.connected(conn);
+        b.get(conn).unwrap();
+        b.engine.unwritten(conn, 1);
+        assert_eq!(b.engine.counters.attempts_written, 0);
+        (b, conn)
+    };
+    let (mut b, conn) = waiting();
+    assert!(b.get(conn).is_some(), "nothing has changed");
+    let (mut b, conn) = waiting();
+    b.news(News::Roster { full: false, targets: vec![target(1, "quiescing")] });
+    assert_eq!((b.get(conn), b.engine.counters.attempts_stale), (None, 1), "its member drains");
+    let (mut b, conn) = waiting();
+    b.engine.left(1);
+    assert_eq!(b.engine.next_write(conn), Next::Idle, "its client left, and nothing is to be called off");
+    let (mut b, conn) = waiting();
+    b.pass(1_999.5);
+    assert!(!matches!(b.engine.next_write(conn), Next::Write(Command::Get(_))), "its time is over");
+}
+
+/// A keyed write that may have run is repeated only as long as its key is remembered, counted to the first byte.
+#[test]
+fn a_keyed_repeat_whose_window_closes_while_it_waits_is_never_sent() {
+    for (waits_ms, sent) in [(90.0, true), (120.0, false)] {
+        let mut b = Bench::new(&[1, PARENT, 9]);
+        b.ask(1, 2);
+        let (first, _) = b.opened()[0];
+        b.engine.connected(first);
+        b.get(first).unwrap();
+        b.pass(300.0);
+        b.reply(first, 1, Word::Eio);
+        // 300 of the window's 400 ms are gone. The connection for the repeat comes up late.
+        let (second, _) = b.opened()[0];
+        b.pass(waits_ms);
+        b.engine.connected(second);
+        assert_eq!(b.get(second).is_some(), sent, "{waits_ms} ms");
+        if !sent {
+            let answers = b.answers();
+            assert!(
+                matches!(answers[..], [(1, Final::Failed { .. })]),
+                "not refused, it may have run: {answers:?}"
+            );
+        }
+    }
+}
+
+/// SIGHUP brings another bound on the requests of a connection: it holds for the connections that are up as well.
+#[test]
+fn the_bound_on_a_connections_requests_follows_the_settings() {
+    let mut b = Bench::new(&[1]);
+    b.engine.retune(env(1));
+    b.effects();
+    (1..=9).for_each(|id| b.ask(id, 0));
+    assert_eq!(b.opened().len(), 4, "so many as a member may have");
+    assert!(b.engine.counters.attempts_unplaced >= 5, "each has one, the others none");
+}
+
 /// Guards against a machine that vanished: its open connections stay silent for ever, and only a new one tells.
 #[test]
 fn a_connection_on_which_attempts_time_out_takes_nothing_new() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -92,6 +92,7 @@
     bench.now += 2 * S;
     let actions = bench.outcome(id, 1, Verdict::TimedOut, false);
     assert!(sent(&actions).is_empty());
+    assert_eq!(finals(&actions), [(id, false)], "failed: nobody drops a client's repeat any more either");
     // One cell drops repeats: a repeat only within the cell, and a failure instead of a refusal.
     let mut set = settings();
     set.bypass = false;
