--- a/src/memory/counters.rs
+++ b/src/memory/counters.rs
@@ -130,6 +130,10 @@
     bulletin_links,
     /// Links to the bulletin dropped for silence or for what came over them.
     bulletin_faults,
+    /// Events of the bulletin skipped, since no link brought them in a form that can be read.
+    bulletin_skipped,
+    /// Gaps in the numbers of the bulletin's events.
+    bulletin_gaps,
     /// Moves of the bulletin to another address.
     bulletin_moves,
     /// Configurations read again on SIGHUP and taken.
--- a/src/wire/frames.rs
+++ b/src/wire/frames.rs
@@ -65,21 +65,21 @@
 
 impl Frame {
     /// The event that a frame means under these settings.
-    pub fn event(mut self, env: &Env) -> Result<Numbered, WireError> {
-        let news = match (self.kind, self.payload.len()) {
+    pub fn event(&self, env: &Env) -> Result<Numbered, WireError> {
+        let mut payload = &self.payload[..];
+        let news = match (self.kind, payload.len()) {
             (0, 0) => News::Quiet,
             (1 | 2, n) if n % RECORD == 0 => {
-                let count = n / RECORD;
-                let targets = (0..count).map(|_| target(&mut self.payload, env)).collect::<Result<_, _>>()?;
+                let targets = self.records().map(|r| target(r, env)).collect::<Result<_, _>>()?;
                 News::Roster { full: self.kind == 1, targets }
             }
             (3, 16) => {
-                let object = Some(self.payload.get_u64());
-                News::Purge { object, group: 0, issued: self.payload.get_u64() as f64 }
+                let object = Some(payload.get_u64());
+                News::Purge { object, group: 0, issued: payload.get_u64() as f64 }
             }
             (4, 10) => {
-                let group = u32::from(self.payload.get_u16());
-                News::Purge { object: None, group, issued: self.payload.get_u64() as f64 }
+                let group = u32::from(payload.get_u16());
+                News::Purge { object: None, group, issued: payload.get_u64() as f64 }
             }
             (0..=4, _) => return Err(WireError::Malformed("a frame's length")),
             // A kind of a later day: its number counts, its text is skipped.
@@ -87,9 +87,20 @@
         };
         Ok(Numbered { no: self.no, news })
     }
+
+    /// The members that can be read in a list or changes of it, whatever stands beside them.
+    pub fn readable(&self, env: &Env) -> Vec<Target> {
+        self.records().filter_map(|r| target(r, env).ok()).collect()
+    }
+
+    /// The records of a list or of changes of it.
+    fn records(&self) -> impl Iterator<Item = &[u8]> {
+        let payload = if matches!(self.kind, 1 | 2) { &self.payload[..] } else { &[] };
+        payload.chunks_exact(RECORD)
+    }
 }
 
-fn target(buf: &mut BytesMut, env: &Env) -> Result<Target, WireError> {
+fn target(mut buf: &[u8], env: &Env) -> Result<Target, WireError> {
     let cache = buf.get_u32();
     let address = SocketAddrV4::new(Ipv4Addr::from(buf.get_u32()), buf.get_u16());
     let lifecycle = match buf.get_u8() {
