--- a/src/clock.rs
+++ b/src/clock.rs
@@ -67,32 +67,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_manual_clock_moves_only_when_told() {
-        let clock = Clock::manual(1_000.5);
-        let twin = clock.clone();
-        assert_eq!(clock.now(), 1_000.5);
-        twin.advance(2.25);
-        twin.advance(-50.0);
-        assert_eq!(clock.now(), 1_002.75);
-    }
-
-    #[test]
-    fn units_convert_both_ways() {
-        assert_eq!(micros(1.5), 1_500);
-        assert_eq!(micros(-3.0), 0);
-        assert_eq!(millis(2_250), 2.25);
-        assert_eq!(span(-1.0), Duration::ZERO);
-        assert_eq!(span(f64::INFINITY), Duration::from_secs(86_400));
-    }
-
-    #[test]
-    fn the_system_clock_does_not_run_backwards() {
-        let clock = Clock::system();
-        let first = clock.now();
-        assert!(clock.now() >= first && first > 1.6e12);
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/grpc/routes/tests.rs
@@ -0,0 +1,46 @@
+
+use super::*;
+
+fn route(class: usize) -> Route {
+    Route {
+        pool: 0,
+        class,
+        kind: Kind::Unary,
+        repeat: Repeat::Safe,
+        key: None,
+        deadline_ms: None,
+        retry: Vec::new(),
+        affinity: Affinity::Call,
+    }
+}
+
+#[test]
+fn the_nearest_line_counts() {
+    let mut routes = Routes::default();
+    for (class, pattern) in ["/ads.v1.Ads/Post", "/ads.v1.Ads/*", "*"].iter().enumerate() {
+        routes.add(pattern, route(class)).unwrap();
+    }
+    fn class(routes: &Routes, path: &str) -> Option<usize> {
+        routes.find(path).map(|r| r.class)
+    }
+    assert_eq!(class(&routes, "/ads.v1.Ads/Post"), Some(0));
+    assert_eq!(class(&routes, "/ads.v1.Ads/Get"), Some(1));
+    assert_eq!(class(&routes, "/ads.v1.Adsy/Get"), Some(2));
+    for bad in ["", "/", "/a", "a/b", "/a/", "//b", "/a/b/c", "/a/b?x", "/a b/c", "/a/*"] {
+        assert_eq!(class(&routes, bad), None, "{bad:?}");
+    }
+    for twice in ["*", "/ads.v1.Ads/*", "/ads.v1.Ads/Post"] {
+        assert_eq!(routes.add(twice, route(9)), Err(BadPattern::Twice(twice.into())));
+    }
+    assert_eq!(class(&routes, "/ads.v1.Adsy/Get"), Some(2), "the first line stays");
+    for bad in ["", "/*", "a/*", "/a/b/*", "**", "/a/b*"] {
+        assert_eq!(routes.add(bad, route(9)), Err(BadPattern::Form(bad.into())), "{bad:?}");
+    }
+    assert_eq!(routes.all().len(), 3, "a bad line adds nothing");
+}
+
+#[test]
+fn the_hash_is_the_same_everywhere() {
+    assert_eq!(hash(b""), 0xe3b0_c442_98fc_1c14, "the first bytes of SHA-256");
+    assert_ne!(hash(b"a"), hash(b"b"));
+}
--- /dev/null
+++ b/src/grpc/status/tests.rs
@@ -0,0 +1,57 @@
+
+use super::*;
+
+const ALL: [Repeat; 3] = [Repeat::Safe, Repeat::Keyed, Repeat::Unsafe];
+
+#[test]
+fn codes_are_read_and_named() {
+    for n in 0..CODES as u64 {
+        let code = Code::of(n);
+        assert_eq!(Code::parse(n.to_string().as_bytes()), Some(code));
+        assert_eq!(Code::named(code.name()), Some(code));
+    }
+    assert_eq!(Code::parse(b"17"), Some(Code::UNKNOWN), "a number that nobody knows");
+    for bad in [&b""[..], b"x", b"-1", b"1 ", b"00000000001", b"\xff"] {
+        assert_eq!(Code::parse(bad), None);
+    }
+    assert_eq!(message("50% of caf\u{e9}\n"), "50%25 of caf%C3%A9%0A");
+    assert_eq!(Pushback::parse(b"250"), Pushback::After(250.0));
+    assert_eq!((Pushback::parse(b"-1"), Pushback::parse(b"soon")), (Pushback::Never, Pushback::Never));
+}
+
+/// Guards the rule that what may have run is never sent twice: whatever the end, a method that may run once
+/// only goes on after ends that surely came before it ran.
+#[test]
+fn an_unsafe_method_goes_on_only_where_nothing_ran() {
+    let mut ends = vec![End::Reset(7), End::Reset(8), End::Broken, End::Cut, End::Spoilt, End::TimedOut];
+    ends.extend((0..17).map(|n| End::Status(Code::of(n), None)));
+    ends.extend([200, 400, 404, 429, 500, 503].map(End::Http));
+    let all: Vec<Code> = (0..17).map(Code::of).collect();
+    for end in &ends {
+        let judged = judge(*end, false, Repeat::Unsafe, &all);
+        assert!(!judged.again && !judged.verdict.never_ran(), "{end:?}: {judged:?}");
+    }
+    for end in [End::Unprocessed, End::NoConnection { local: false }, End::Stale] {
+        let judged = judge(end, false, Repeat::Unsafe, &[]);
+        assert!(judged.again && judged.verdict.never_ran(), "{end:?}: {judged:?}");
+    }
+    ends.extend([End::Unprocessed, End::Stale]);
+    for (end, repeat) in ends.iter().flat_map(|e| ALL.map(|r| (*e, r))) {
+        assert!(!judge(end, true, repeat, &all).again, "{end:?}: committed");
+    }
+}
+
+/// Every status code, trailers-only and after data: only OK is served.
+#[test]
+fn only_ok_is_served_and_the_callers_own_errors_leave_the_backend_alone() {
+    for (n, committed) in (0..17).flat_map(|n| [(n, false), (n, true)]) {
+        let code = Code::of(n);
+        let judged = judge(End::Status(code, None), committed, Repeat::Safe, &[Code::UNAVAILABLE]);
+        assert_eq!(judged.verdict == Verdict::Served, code == Code::OK, "{code:?}");
+        assert_eq!(judged.verdict == Verdict::Cancelled, code.is_callers(), "{code:?}");
+        assert_eq!(judged.again, code == Code::UNAVAILABLE && !committed);
+        assert_eq!(judged.code, code);
+    }
+    let told = End::Status(Code::UNAVAILABLE, Some(Pushback::After(50.0)));
+    assert!(!judge(told, false, Repeat::Safe, &[Code::UNAVAILABLE]).again, "it said when to come back");
+}
--- /dev/null
+++ b/src/grpc/timeout/tests.rs
@@ -0,0 +1,31 @@
+
+use super::*;
+use proptest::prelude::*;
+
+#[test]
+fn units_are_read_and_nonsense_is_not() {
+    let ms = |text| parse(text);
+    assert_eq!((ms("1H"), ms("2M"), ms("3S")), (Some(3_600_000.0), Some(120_000.0), Some(3_000.0)));
+    assert_eq!((ms("250m"), ms("500u")), (Some(250.0), Some(0.5)));
+    assert_eq!(ms("99999999n"), Some(99.999999));
+    for bad in ["", "S", "1", "123456789m", "-1S", "+1S", "1.5S", "1s", "1 S", "1é", "é", "０S"] {
+        assert_eq!(parse(bad), None, "{bad:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards the rule on deadlines: what is written is never more than what is left, and loses little.
+    #[test]
+    fn what_is_written_is_never_longer(ms in 0.0f64..4e11) {
+        let text = format(ms);
+        let back = parse(&text).expect("it reads its own");
+        prop_assert!(back <= ms, "{ms} became {text}");
+        prop_assert!(back >= ms * 0.999 - 1e-5 || ms > 5e9, "{ms} became {text}");
+    }
+}
--- /dev/null
+++ b/src/rules/syntax/tests.rs
@@ -0,0 +1,55 @@
+
+use super::*;
+
+#[test]
+fn operators_bind_as_they_should() {
+    fn show(tree: &Tree) -> String {
+        match &tree.kind {
+            Kind::Not(a) => format!("(! {})", show(a)),
+            Kind::Neg(a) => format!("(- {})", show(a)),
+            Kind::Binary(op, a, b) => format!("({op:?} {} {})", show(a), show(b)),
+            Kind::If(a, b, c) => format!("(if {} {} {})", show(a), show(b), show(c)),
+            Kind::Let(name, a, b) => format!("(let {name} {} {})", show(a), show(b)),
+            other => format!("{other:?}"),
+        }
+    }
+    let shape = |text: &str| show(&parse(text).unwrap());
+    assert_eq!(shape("a || b && c == d"), shape("a || (b && (c == d))"));
+    assert_eq!(shape("!a && -1 + 2 < 3"), shape("(!a) && (((-1) + 2) < 3)"));
+    assert_eq!(shape("if a then b else c || d"), shape("if a then b else (c || d)"));
+    assert_eq!(shape("let x = 1 in x + x"), shape("let x = (1) in (x + x)"));
+    assert!(matches!(parse(r#"f("a\"\\é", g())"#).unwrap().kind, Kind::Call(_, args) if args.len() == 2));
+}
+
+#[test]
+fn what_cannot_be_read_is_told_with_its_place() {
+    for (text, at) in [
+        ("", 0),
+        ("a b", 2),
+        ("a ==", 4),
+        ("a == b == c", 10),
+        ("f(a", 3),
+        ("f(a,)", 4),
+        ("\"a", 0),
+        (r#""a\n""#, 0),
+        ("a & b", 2),
+        ("a # b", 2),
+        ("12x", 0),
+        ("99999999999999999999", 0),
+        ("if a then b", 11),
+        ("let 1 = 2 in 3", 5),
+        ("then", 0),
+    ] {
+        let bad = parse(text).expect_err(text);
+        assert!(bad.at.abs_diff(at) <= 2, "{text:?}: {bad}");
+    }
+    for deep in [
+        "(".repeat(5_000),
+        "!".repeat(4_000),
+        "if a then ".repeat(300),
+        "1".to_string() + &"+1".repeat(1_000),
+    ] {
+        assert!(parse(&deep).is_err(), "{}", &deep[..20]);
+    }
+    assert!(parse(&"a".repeat(TEXT_MOST + 1)).is_err());
+}
--- /dev/null
+++ b/src/wire/frames/tests.rs
@@ -0,0 +1,81 @@
+
+use super::*;
+
+fn env() -> Env {
+    let mut text = br#"{"classes":[],"localities":["hub","east"],"skus":["std","parent"]}"#.to_vec();
+    simd_json::from_slice(&mut text).unwrap()
+}
+
+fn frame(no: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
+    let mut out = (payload.len() as u32 + 9).to_be_bytes().to_vec();
+    out.extend(no.to_be_bytes());
+    out.push(kind);
+    out.extend(payload);
+    out
+}
+
+fn record() -> Vec<u8> {
+    let mut out = 0x00c4_1f7au32.to_be_bytes().to_vec();
+    out.extend([10, 1, 0, 9]);
+    out.extend(5_050u16.to_be_bytes());
+    out.extend([1, 1, 0]);
+    out.extend(2u16.to_be_bytes());
+    out.extend(4_500u32.to_be_bytes());
+    out.extend(1_764_576_000_123u64.to_be_bytes());
+    out
+}
+
+#[test]
+fn frames_are_read_whole_wherever_they_are_split() {
+    let mut bytes = frame(7, 2, &record());
+    bytes.extend(frame(7, 0, &[]));
+    let purge: Vec<u8> = 17u16.to_be_bytes().into_iter().chain(99u64.to_be_bytes()).collect();
+    bytes.extend(frame(8, 4, &purge));
+    for cut in 0..bytes.len() {
+        let (mut codec, mut buf, mut got) = (FrameCodec, BytesMut::new(), Vec::new());
+        for part in [&bytes[..cut], &bytes[cut..]] {
+            buf.extend_from_slice(part);
+            while let Some(frame) = codec.decode(&mut buf).unwrap() {
+                got.push(frame.event(&env()).unwrap());
+            }
+        }
+        assert_eq!(got.iter().map(|n| n.no).collect::<Vec<_>>(), [7, 7, 8]);
+        let News::Roster { full: false, targets } = &got[0].news else { panic!("{got:?}") };
+        assert_eq!(targets[0].address.to_string(), "10.1.0.9:5050");
+        let row = &targets[0].row;
+        assert_eq!((row.cache, row.zone.as_str(), row.lifecycle.as_str()), (0xc41f7a, "east", "quiescing"));
+        assert_eq!((row.ready_at_us, row.power_hint), (1_764_576_000_123_000, Some(4.5)));
+        assert!(matches!(got[1].news, News::Quiet));
+        assert!(matches!(got[2].news, News::Purge { object: None, group: 17, issued: 99.0 }));
+    }
+}
+
+/// Guards against a bulletin whose bytes can't be read: an error, after which the link is made anew.
+#[test]
+fn frames_that_are_malformed_or_too_large_are_errors() {
+    let mut state = record();
+    state[10] = 9;
+    let mut zone = record();
+    zone[11] = 9;
+    for (kind, payload) in [(1, &state[..]), (2, &zone[..]), (1, &state[..26]), (3, &[1, 2]), (0, &[1])] {
+        let mut buf = BytesMut::from(&frame(1, kind, payload)[..]);
+        assert!(FrameCodec.decode(&mut buf).unwrap().unwrap().event(&env()).is_err(), "{kind}");
+    }
+    for length in [8u32, FRAME_MOST as u32 + 1, u32::MAX] {
+        assert!(FrameCodec.decode(&mut BytesMut::from(&length.to_be_bytes()[..])).is_err());
+    }
+}
+
+#[test]
+fn known_events_are_read_from_json_and_faults_are_named() {
+    let text = r#"{"no":42,"items":[{"no":41,"roster":{"rev":7,"all":true,"targets":[{"uid":"s-00c41f7a",
+            "endpoint":"10.1.0.9:5050","az":"east","model":"std","pod_group":2,"state":"Ready",
+            "capacity_hint":4,"boot_ms":0}]}},{"no":42,"recall":{"item":"7f3a9c21e0b4d655","issued":5}}]}"#;
+    let read = |text: &str| simd_json::from_slice::<Known>(&mut text.as_bytes().to_vec()).unwrap().events();
+    let events = read(text).unwrap();
+    assert!(matches!(&events[0].news, News::Roster { full: true, targets } if targets.len() == 1));
+    let object = 0x7f3a_9c21_e0b4_d655;
+    assert!(matches!(events[1].news, News::Purge { object: Some(o), issued: 5.0, .. } if o == object));
+    let fault = read(&text.replace("10.1.0.9:5050", "nowhere")).unwrap_err();
+    assert!(fault.contains("event 41") && fault.contains("endpoint"), "{fault}");
+}
--- /dev/null
+++ b/src/wire/http/tests.rs
@@ -0,0 +1,101 @@
+
+use super::*;
+
+fn codec() -> HttpCodec {
+    HttpCodec::new(Clock::manual(0.0), 100)
+}
+
+fn first(bytes: &[u8]) -> Option<Result<HttpRequest, BadRequest>> {
+    codec().decode(&mut BytesMut::from(bytes)).unwrap()
+}
+
+#[test]
+fn requests_are_read_whole_wherever_they_are_split() {
+    let text = b"PUT /ops/post/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello\
+                     GET /alive HTTP/1.1\r\nHOST: a\r\nConnection: Close\r\n\r\n";
+    for cut in 0..text.len() {
+        let (mut codec, mut buf, mut got) = (codec(), BytesMut::new(), Vec::new());
+        for part in [&text[..cut], &text[cut..]] {
+            buf.extend_from_slice(part);
+            while let Some(request) = codec.decode(&mut buf).unwrap() {
+                got.push(request.unwrap());
+            }
+        }
+        assert_eq!(got.len(), 2, "cut at {cut}");
+        assert_eq!((&got[0].body[..], got[0].keep_alive), (&b"hello"[..], true));
+        assert_eq!((got[1].target.as_str(), got[1].keep_alive), ("/alive", false));
+    }
+}
+
+/// Guards against what no honest client sends: each fault has its status, and nothing after it is read.
+#[test]
+fn faults_have_their_status_and_end_the_reading() {
+    let long = format!("GET /{} HTTP/1.1\r\nHost: a\r\n\r\n", "x".repeat(HEAD_MOST));
+    let many = format!("GET / HTTP/1.1\r\nHost: a\r\n{}\r\n", "X: y\r\n".repeat(HEADERS_MOST + 1));
+    let cases: [(&str, u16); 12] = [
+        ("\x01\x02\x03\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nHost: a\r\nbad header\r\n\r\n", 400),
+        ("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", 400),
+        ("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx", 400),
+        ("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        ("PUT / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n", 501),
+        ("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n", 413),
+        ("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999999999999999\r\n\r\n", 413),
+        (&long, 431),
+        (&many, 431),
+    ];
+    for (text, status) in cases {
+        assert_eq!(first(text.as_bytes()).unwrap().unwrap_err(), BadRequest(status), "{text:.60}");
+    }
+    let mut codec = codec();
+    let mut buf = BytesMut::from(&b"nonsense\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n"[..]);
+    assert!(codec.decode(&mut buf).unwrap().unwrap().is_err());
+    assert!(codec.decode(&mut buf).unwrap().is_none());
+}
+
+#[test]
+fn an_endless_head_is_not_held() {
+    assert_eq!(first(&vec![b'a'; HEAD_MOST + 1]).unwrap().unwrap_err(), BadRequest(431));
+    assert!(first(&vec![b'a'; HEAD_MOST - 1]).is_none());
+}
+
+#[test]
+fn the_wait_is_timed_from_the_first_byte_of_each_phase() {
+    let clock = Clock::manual(1_000.0);
+    let mut codec = HttpCodec::new(clock.clone(), 100);
+    let mut buf = BytesMut::new();
+    clock.advance(500.0);
+    assert!(codec.decode(&mut buf).unwrap().is_none());
+    assert_eq!(codec.phase(), (Phase::Idle, 1_000.0));
+    buf.extend_from_slice(b"PUT / HT");
+    assert!(codec.decode(&mut buf).unwrap().is_none());
+    clock.advance(100.0);
+    buf.extend_from_slice(b"TP/1.1\r\n");
+    assert!(codec.decode(&mut buf).unwrap().is_none());
+    assert_eq!(codec.phase(), (Phase::Head, 1_500.0));
+    buf.extend_from_slice(b"Host: a\r\nContent-Length: 2\r\n\r\nx");
+    assert!(codec.decode(&mut buf).unwrap().is_none());
+    assert_eq!(codec.phase(), (Phase::Body, 1_600.0));
+}
+
+#[test]
+fn answers_say_their_length_also_without_a_body() {
+    let write = |answer| {
+        let mut out = BytesMut::new();
+        codec().encode(answer, &mut out).unwrap();
+        String::from_utf8(out.to_vec()).unwrap()
+    };
+    let full = HttpAnswer { body: Bytes::from_static(b"abc"), ..HttpAnswer::status(200) };
+    assert_eq!(write(full.clone()), "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+    let head = HttpAnswer { head_only: true, ..full };
+    assert_eq!(write(head), "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n");
+    assert_eq!(
+        write(HttpAnswer::status(304).with("ETag", "\"x\"")),
+        "HTTP/1.1 304 Not Modified\r\nETag: \"x\"\r\n\r\n"
+    );
+    let long = HttpAnswer { body: vec![b'x'; INLINE_MOST + 1].into(), ..HttpAnswer::status(200) };
+    assert!(write(long).ends_with("Content-Length: 4097\r\n\r\n"), "its body is written by the driver");
+    assert!(write(HttpAnswer::closing(400)).contains("Connection: close\r\n"));
+}
