--- a/src/duties/plan/tests.rs
+++ b/src/duties/plan/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
--- a/src/grpc/frames/tests.rs
+++ b/src/grpc/frames/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn message(n: usize) -> Vec<u8> {
--- a/src/grpc/routes/tests.rs
+++ b/src/grpc/routes/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn route(class: usize) -> Route {
--- a/src/grpc/status/tests.rs
+++ b/src/grpc/status/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 const ALL: [Repeat; 3] = [Repeat::Safe, Repeat::Keyed, Repeat::Unsafe];
--- a/src/mac/tests.rs
+++ b/src/mac/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 #[test]
--- a/src/poor/shelf/tests.rs
+++ b/src/poor/shelf/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use bytes::Bytes;
 use proptest::prelude::*;
--- a/src/poor/turns/tests.rs
+++ b/src/poor/turns/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn p(urgency: u8, incremental: bool) -> Priority {
--- a/src/purge/guard/tests.rs
+++ b/src/purge/guard/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::purge::ledger::Purge;
 
--- a/src/registry/view/tests.rs
+++ b/src/registry/view/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn value(id: u32, state: &str) -> Vec<u8> {
--- a/src/rules/eval/tests.rs
+++ b/src/rules/eval/tests.rs
@@ -1,4 +1,3 @@
-
 use super::super::check::{Definitions, Type, LENGTH_MOST};
 use super::*;
 use proptest::prelude::*;
--- a/src/vrrp/auth/tests.rs
+++ b/src/vrrp/auth/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine as _;
--- a/src/vrrp/machine/tests.rs
+++ b/src/vrrp/machine/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn at(host: u8) -> SocketAddr {
--- a/src/vrrp/track/tests.rs
+++ b/src/vrrp/track/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn track(text: &str) -> Track {
--- a/src/wire/http/tests.rs
+++ b/src/wire/http/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn codec() -> HttpCodec {
--- a/src/wire/keys/tests.rs
+++ b/src/wire/keys/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 const K: &str = "AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8";
--- a/src/wire/lines/tests.rs
+++ b/src/wire/lines/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn all(codec: &mut LineCodec, bytes: &[u8]) -> Result<Vec<Reply>, WireError> {
