Tests of a stop that is asked for twice, and of clients that leave while their request waits

SIGTERM, SIGHUP, SIGTERM with members that hang, a half-read request and a connection of the last moments: each is answered once, whole, with Connection: close, and the process exits 0. A request that waits for a dial or behind others is never written once its client left.

--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -256,6 +256,25 @@
     assert_eq!((b.engine.counters.member_late, b.engine.owed()), (1, 0));
 }
 
+/// A client that leaves while its request waits for a dial, or behind others on a connection: never sent on.
+#[test]
+fn a_request_whose_client_left_while_it_waited_is_never_written() {
+    let mut b = Bench::new(&[1, PARENT, 9]);
+    b.ask(1, 0);
+    b.ask(2, 0);
+    let (conn, _) = b.opened()[0];
+    b.engine.left(1);
+    b.engine.connected(conn);
+    assert!(b.get(conn).is_some_and(|get| get.id.ends_with('2')), "the dial was for both");
+    b.engine.left(2);
+    assert!(
+        matches!(b.engine.next_write(conn), Next::Write(Command::Drop(_))),
+        "it was written, and is called off"
+    );
+    assert_eq!((b.engine.next_write(conn), b.engine.owed(), b.answers().len()), (Next::Idle, 0, 0));
+    assert_eq!((b.engine.counters.attempts_written, b.engine.counters.left), (1, 2));
+}
+
 /// A member that reads nothing: what has no byte out waits on, and every rule is looked at again before its first byte.
 #[test]
 fn what_could_not_be_written_is_looked_at_again_before_its_first_byte() {
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -92,12 +92,17 @@
     /// Starts one on a free port, under a limit on descriptors. Another process may take the port between the
     /// look and the start, so there are further tries.
     fn start(name: &str, descriptors: u32) -> Self {
-        (0..10).find_map(|_| Self::try_start(name, descriptors)).expect("a free port")
+        Self::start_of(&example(), name, descriptors)
     }
 
-    fn try_start(name: &str, descriptors: u32) -> Option<Self> {
+    /// Starts it with a configuration of this text.
+    fn start_of(text: &str, name: &str, descriptors: u32) -> Self {
+        (0..10).find_map(|_| Self::try_start(text, name, descriptors)).expect("a free port")
+    }
+
+    fn try_start(text: &str, name: &str, descriptors: u32) -> Option<Self> {
         let port = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
-        let text = example().replace("127.0.0.1:5050", &format!("127.0.0.1:{port}"));
+        let text = text.replace("127.0.0.1:5050", &format!("127.0.0.1:{port}"));
         let config = file(name, &text);
         let script = format!("ulimit -n {descriptors}; exec \"$0\" serve --config \"$1\"");
         let mut child = Command::new("sh")
@@ -161,6 +166,51 @@
     assert_eq!(proxy.child.wait().unwrap().code(), Some(0));
 }
 
+/// SIGTERM twice, with SIGHUP between them, while every member hangs: what was in flight, what was half read and what
+/// came on a connection of the last moments is answered whole, once, and the process ends well.
+#[test]
+fn a_stop_that_is_asked_for_twice_answers_all_that_was_taken() {
+    // Members that take connections and never answer.
+    let hanging = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = hanging.local_addr().unwrap().to_string();
+    let text = (7101..=7104).fold(example(), |text, k| text.replace(&format!("127.0.0.1:{k}"), &at));
+    let mut proxy = Running::start_of(&text, "twice.json", 256);
+    let get = |id: u64| {
+        format!(
+            "GET /ops/small-object/{:016x} HTTP/1.1\r\nHost: o\r\nX-Call-Id: {id:016x}\r\nX-Patience-Ms: 1200\r\n\
+             X-Set: 1\r\n\r\n",
+            id * 7_919
+        )
+    };
+    let mut flying = proxy.connect();
+    flying.write_all(get(1).as_bytes()).unwrap();
+    let (member, _) = hanging.accept().unwrap();
+    let mut line = String::new();
+    BufReader::new(&member).read_line(&mut line).unwrap();
+    assert!(line.starts_with("GET 0000000000000001 "), "it is at a member: {line}");
+    let mut half = proxy.connect();
+    half.write_all(&get(2).as_bytes()[..40]).unwrap();
+    proxy.signal("-TERM");
+    proxy.until("stops");
+    proxy.signal("-HUP");
+    proxy.signal("-TERM");
+    half.write_all(&get(2).as_bytes()[40..]).unwrap();
+    let mut late = proxy.connect();
+    late.write_all(get(3).as_bytes()).unwrap();
+    for client in [&mut flying, &mut half, &mut late] {
+        let mut answer = String::new();
+        client.read_to_string(&mut answer).expect("no reset");
+        let status = answer.get(9..12).unwrap_or_default().to_string();
+        assert!(["429", "503", "504", "502"].contains(&status.as_str()), "{answer}");
+        assert_eq!(
+            (answer.matches("HTTP/1.1 ").count(), answer.contains("Connection: close")),
+            (1, true),
+            "{answer}"
+        );
+    }
+    assert_eq!(proxy.child.wait().unwrap().code(), Some(0));
+}
+
 /// Guards the process against running out of descriptors: clients wait, and are served once there is room.
 #[test]
 fn want_of_descriptors_ends_nothing() {
