Fills follow late answers: all routers leave out the same objects while the origin is slow

Traced over all 321 proxies (decisions=trace): fills time out from 3 s on, writes at the origin hang from 7 s and are refused from 11 s; the origin stops at 13 s, and all ad-posts with it. Ruled out: retries of ours (1.017 attempts a try), direct fills (past_parents 0.0005), connections (5 connects a second fail). What is left is first fills: overloaded() sheds them only where a cache's load shows a jam, and a proxy with eight requests a second has two or three out.

Change (policy.rs, learn and overloaded): the part of the objects that may be filled falls by a tenth with each late answer of a fill path, down to a fifth, and grows by 0.05 with each in time; the objects left out are the same at every router for 10 s, are served where they are held, else refused at once. To make room the share of fills by notes (fill_share) goes: cold parents are budgeted as if each attempt filled, as where notes are silent.

Test: large_fleet, a hundred routers; without the change all 20,000 requests fill.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -62,8 +62,6 @@
 const ROOM_MOST: f64 = 16.0;
 /// Least time between two cuts of a cache's room, us: late answers of one cause come together, as in TCP.
 const ROOM_GAP: Micros = 500_000;
-/// Fills taken for granted, of as many outcomes, in the share of attempts that end in a fill.
-const FILL_PRIOR: f64 = 5.0;
 /// What a served attempt says of its source where notes don't tell hits from fills, in good outcomes: most
 /// were hits, and would hide a source that fails.
 const SOURCE_CREDIT: f64 = 0.1;
@@ -140,6 +138,12 @@
 const ORIGIN_ROOM_MORE: f64 = 0.03;
 const ORIGIN_ROOM_LESS: f64 = 0.8;
 const ORIGIN_ROOM_LEAST: f64 = 0.05;
+/// What an answer in time adds to the part of the objects that may be filled, what a late one leaves of it,
+/// and the least: all routers leave out the same objects for a COUNT_SPAN, so that the others are filled
+/// once and then kept, and the origin goes on doing what only it can.
+const FILL_ROOM_MORE: f64 = 0.05;
+const FILL_ROOM_LESS: f64 = 0.9;
+const FILL_ROOM_LEAST: f64 = 0.2;
 /// Ranks at which a copy is kept: the first time this router is asked for an object, and later.
 const RANKS: (u8, u8) = (1, 2);
 
@@ -271,11 +275,10 @@
     counts_since: Micros,
     pace: Vec<Pace>,
     retries: Aged,
-    /// Answers from a cache's own copy and from a fill, where notes tell.
-    hits: Aged,
-    fills: Aged,
     /// Part of what no parent takes that may ask the origin; all of it at first.
     origin_room: f64,
+    /// Part of the objects that may be filled; all of them at first.
+    fill_room: f64,
 }
 
 /// A well-mixed hash, the same at every router: never seeded.
@@ -311,9 +314,8 @@
             counts_since: 0,
             pace: settings.classes.iter().map(Pace::of).collect(),
             retries: Aged { sum: RETRY_FIRST, at: Micros::MAX },
-            hits: Aged::default(),
-            fills: Aged::default(),
             origin_room: 1.0,
+            fill_room: 1.0,
             set: settings,
         }
     }
@@ -541,13 +543,6 @@
         (m.spent, m.spent_at) = (m.owed(now, pace) + work, now);
     }
 
-    /// Share of attempts that end in a fill; all of them where notes don't tell, since after a flush, or at a
-    /// cold cache, each one may.
-    fn fill_share(&self, now: Micros) -> f64 {
-        let (hits, fills) = (self.hits.get(now), self.fills.get(now));
-        (fills + FILL_PRIOR) / (hits + fills + FILL_PRIOR)
-    }
-
     /// Transfers at a cache over what fits there, by this router's own. One of many sees few, by chance: they
     /// are drawn to the location's mean, less a standard deviation (Poisson) of what it does not see.
     fn load(&self, now: Micros, id: MemberId) -> f64 {
@@ -630,9 +625,8 @@
             return self.pick_cache(now, req, work).map(|c| (c, Some(c)));
         }
         let sources: Vec<MemberId> = req.attempts.iter().filter_map(|a| a.source).collect();
-        let fill_work = work * self.fill_share(now);
         let avoid = if tried >= 2 { &sources[..] } else { &[] };
-        let parent = self.pick_parent(now, req.object, fill_work, avoid);
+        let parent = self.pick_parent(now, req.object, work, avoid);
         if tried < 3 || !self.set.bypass {
             if let Some(cache) = self.pick_cache(now, req, work) {
                 let spare = origin.filter(|_| self.origin_room > unit(now ^ req.object, 4));
@@ -714,14 +708,12 @@
             }
         }
         let note = if held_only && verdict == Verdict::Served { Note::Hit } else { note };
-        use Verdict::{Broken, Error, Refused, TimedOut};
-        let failed = matches!(verdict, Refused | TimedOut | Error | Broken);
-        // What fails at its source has reached it, and counts against a cold one.
-        match note {
-            Note::Hit if held_only => {}
-            Note::Hit => self.hits.add(now, 1.0),
-            _ if failed || note == Note::Filled => self.fills.add(now, 1.0),
-            _ => {}
+        use Verdict::{Error, Refused, Served, TimedOut};
+        // Guards the origin and the links: what all routers ask of them falls with what they give too late.
+        if source.is_some() && matches!(verdict, Served | TimedOut) && note != Note::Hit {
+            let late = late || verdict == TimedOut;
+            let room = if late { self.fill_room * FILL_ROOM_LESS } else { self.fill_room + FILL_ROOM_MORE };
+            self.fill_room = room.clamp(FILL_ROOM_LEAST, 1.0);
         }
         // Guards the origin against all routers at once: each asks less of it the more of that fails.
         if self.origin().is_some_and(|o| source == Some(o) || to == o) && note != Note::Hit {
@@ -888,13 +880,13 @@
         let least = if jam > JAM { SHED_VALUE_JAMMED } else { SHED_VALUE.0 };
         let bound = LOAD_SHED * (class.worth / own / mean).clamp(least, SHED_VALUE.1);
         let load = self.load(now, cache);
-        (load > bound, load > bound * (1.0 - LATE_SHED * jam).max(SHED_LEAST))
+        let left_out = self.fill_room < unit(req.object, now / COUNT_SPAN);
+        (load > bound, left_out || load > bound * (1.0 - LATE_SHED * jam).max(SHED_LEAST))
     }
 
     fn send(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let Some(req) = self.requests.get(&id) else { return false };
         let mean_work = self.pace[req.class].work;
-        let fill_work = mean_work * self.fill_share(now);
         let Some((to, source)) = self.path(now, req, mean_work) else { return false };
         if !self.may_repeat(now, req, to) {
             return false;
@@ -919,7 +911,7 @@
         actions.push(Action::Send { id, to, source, join, renew, max_age, keep, timeout, start_by });
         self.spend(now, to, mean_work);
         if let Some(source) = source.filter(|s| *s != to) {
-            self.spend(now, source, fill_work);
+            self.spend(now, source, mean_work);
         }
         if let Some(m) = self.members.get_mut(&to) {
             m.inflight += 1;
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -109,3 +109,44 @@
     // Forty would be 320 at a cache taken to bear four: that many are refused long before.
     assert!(refused_at.is_some_and(|n| (15..=25).contains(&n)), "{refused_at:?}");
 }
+
+/// The origin is slow and every copy is void: a hundred routers that each fill all that they are asked for push it over,
+/// and with it goes what only it can do. The sum of their fills falls with late answers, and all of them leave out the
+/// same objects, so that the others are filled once and kept; what is never kept goes on, and all comes back.
+#[test]
+fn the_fills_of_a_hundred_routers_fall_with_late_answers_and_leave_out_the_same_objects() {
+    let mut fleet = routers(&large(), &fleet(), 100);
+    let answered = |bench: &mut Bench, class, object, took| {
+        let first = sent(&bench.ask(class, object)).first().cloned()?;
+        let (id, verdict, note) = (first.id, Verdict::Served, Note::Silent);
+        bench.event(Event::Outcome { id, attempt: 0, verdict, note, took, closed: true });
+        Some(first)
+    };
+    let fills = |bench: &mut Bench, took| -> Vec<bool> {
+        let object = |k: u64| answered(bench, 0, 1_000 + k, took).is_some_and(|a| a.source != Some(a.to));
+        (0..200).map(object).collect()
+    };
+    // Three seconds of late answers at eight requests a second each.
+    for step in 0..24u64 {
+        for bench in &mut fleet {
+            bench.now += 125 * MS;
+            answered(bench, 0, step, 2 * S);
+        }
+    }
+    let asked: Vec<Vec<bool>> = fleet.iter_mut().map(|bench| fills(bench, 2 * S)).collect();
+    let sum = asked.iter().flatten().filter(|filled| **filled).count();
+    assert!(sum < 100 * 200 / 2, "{sum} fills of {} requests", 100 * 200);
+    assert!(sum > 100 * 200 / 10, "some are filled still: {sum}");
+    let last = |k: usize| asked.iter().filter(|router| router[k]).count();
+    let together = (100..200).filter(|k| last(*k) == 0 || last(*k) == 100).count();
+    assert_eq!(together, 100, "all routers leave out the same objects");
+    for bench in &mut fleet {
+        assert!(answered(bench, 2, 5, 100 * MS).is_some_and(|a| a.to == 21), "a write goes to the origin");
+    }
+    // Well again.
+    for bench in &mut fleet {
+        bench.now += S;
+        (0..3).for_each(|_| drop(fills(bench, 50 * MS)));
+        assert!(fills(bench, 50 * MS).iter().all(|filled| *filled), "all is filled again");
+    }
+}
