A purge bounds ages for a minute past its stated end: a cache that hung still holds old copies

At fault: policy.rs PURGE_EXTRA. The bound ended half a second after purge_done (6 s), within which caches drop older copies by themselves; one that hangs drops nothing. A bound costs nothing once old copies are gone, so it holds for 60 s more.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -117,8 +117,8 @@
 const LEAST_LEFT: Micros = 10_000;
 /// Taken off the age bound after a purge, us: the host's clock is coarse.
 const PURGE_MARGIN: Micros = 10_000;
-/// Kept beyond the stated end of a purge, us, for the same reason.
-const PURGE_EXTRA: Micros = 500_000;
+/// Kept beyond the stated end of a purge, us: a cache that hangs then drops its old copies when it wakes.
+const PURGE_EXTRA: Micros = 60_000_000;
 /// Wait hint with a refusal, us, before jitter: a try that comes too late for the aim earns little.
 const WAIT_HINT: f64 = 120_000.0;
 /// Failures in a row from which on a cache is probed, and probes without an answer that say it is down.
