--- a/src/policy.rs
+++ b/src/policy.rs
@@ -117,8 +117,10 @@
 const LEAST_LEFT: Micros = 10_000;
 /// Taken off the age bound after a purge, us: the host's clock is coarse.
 const PURGE_MARGIN: Micros = 10_000;
-/// Kept beyond the stated end of a purge, us: a cache that hangs then drops its old copies when it wakes.
-const PURGE_EXTRA: Micros = 60_000_000;
+/// Kept beyond the stated end of a purge, us, for the same reason.
+const PURGE_EXTRA: Micros = 500_000;
+/// How long a purge is remembered beyond it, us, for caches that hang then and drop their old copies later.
+const PURGE_KEPT: Micros = 60_000_000;
 /// Wait hint with a refusal, us, before jitter: a try that comes too late for the aim earns little.
 const WAIT_HINT: f64 = 120_000.0;
 /// Failures in a row from which on a cache is probed, and probes without an answer that say it is down.
@@ -189,6 +191,8 @@
     down: bool,
     /// ... which is then taken for its start, since the list tells of it seconds later.
     revived: Micros,
+    /// When it last answered this router: it did not hang then.
+    heard: Micros,
 }
 
 impl Member {
@@ -400,12 +404,12 @@
                 None => {
                     let inflight = self.members.get(&e.id).map_or(0, |m| m.inflight);
                     let (good, bad, asked) = Default::default();
-                    let (run, misses, probed_at, down, revived) = Default::default();
+                    let (run, misses, probed_at, down, revived, heard) = Default::default();
                     let (spent, spent_at, room, cut_at) = (self.debt(), now, line.weight, 0);
                     #[rustfmt::skip]
                     let fresh = Member {
                         line, good, bad, asked, inflight, room, cut_at, spent, spent_at,
-                        run, misses, probed_at, down, revived,
+                        run, misses, probed_at, down, revived, heard,
                     };
                     self.members.insert(e.id, fresh);
                 }
@@ -418,8 +422,7 @@
     }
 
     fn on_purged(&mut self, now: Micros, object: Option<ObjectId>, group: u32, ago: Micros) {
-        let done = self.set.purge_done + PURGE_EXTRA;
-        self.purges.retain(|_, at| now < *at + done);
+        self.purges.retain(|_, at| now < *at + self.set.purge_done + PURGE_KEPT);
         let (at, key) = (now.saturating_sub(ago), (object, if object.is_some() { 0 } else { group }));
         let last = self.purges.entry(key).or_insert(at);
         *last = at.max(*last);
@@ -427,7 +430,7 @@
 
     /// Guards the rule on purges: the oldest copy that will do, on every attempt; 0 for the class's own.
     /// `stale` also takes copies past their fresh time.
-    fn age_bound(&self, now: Micros, req: &Pending, stale: bool) -> Micros {
+    fn age_bound(&self, now: Micros, req: &Pending, stale: bool, to: MemberId) -> Micros {
         let class = &self.set.classes[req.class];
         let own = match class.fresh_for {
             0 => 0,
@@ -435,7 +438,8 @@
         };
         let keys = [(Some(req.object), 0), (None, req.group)];
         let purged = keys.iter().filter_map(|k| self.purges.get(k)).max().copied();
-        match purged.filter(|at| now < at + self.set.purge_done + PURGE_EXTRA) {
+        let heard = self.members.get(&to).map_or(0, |m| m.heard);
+        match purged.filter(|at| heard < at + self.set.purge_done + PURGE_EXTRA) {
             Some(at) => {
                 let age = now.saturating_sub(at + PURGE_MARGIN).max(1);
                 age.min(if own == 0 { age } else { own })
@@ -903,7 +907,7 @@
         let (timeout, cut) = (patience.min(most) as Micros, patience > most);
         // Where fresh copies come too late, an ageing one that is renewed behind is worth more.
         let stale = !req.attempts.is_empty() || jammed;
-        let max_age = self.age_bound(now, req, stale);
+        let max_age = self.age_bound(now, req, stale, to);
         let again = if self.asked(req.object) > 1.0 { RANKS.1 } else { RANKS.0 };
         let keep = if class.uncacheable { 0 } else { again };
         let (join, renew) = (self.set.joins, class.fresh_for > 0 && max_age >= class.fresh_for);
@@ -933,6 +937,9 @@
         let (to, source) = (a.to, a.source.filter(|s| *s != a.to));
         if let Some(m) = self.members.get_mut(&to) {
             m.inflight = m.inflight.saturating_sub(1);
+            let answered =
+                matches!(verdict, Verdict::Served | Verdict::Miss | Verdict::Refused | Verdict::Error);
+            m.heard = if answered { now } else { m.heard };
         }
         match verdict {
             Verdict::NoConnection | Verdict::Broken => self.suspect(now, to, true, actions),
