The decision module is a folder: a file for each concern, structures that decide nothing apart

Change: src/policy/ holds placement, health, capacity, attempts and freshness, each with its constants, and mod.rs the router's state and the dispatch of events. Structures that decide nothing are in src/stats/, with tests beside them: sums that decay and their share, mean and deviation, a leaky bucket, additive increase and multiplicative decrease, counts of the recent past, seeded draws, the hash and rendezvous order. All their constants and bounds are the module's. The meaning of settings (the sending time of a size, the cold-start ramp) and of a verdict (whether it is an answer) is beside those types in interface.rs.

No decision changes: same arithmetic and order of draws.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -72,6 +72,17 @@
     pub window: Micros,
 }
 
+impl ColdStart {
+    /// Share of its full capacity that it has `since_start` after its start.
+    pub fn capacity(&self, since_start: Micros) -> f64 {
+        if self.ramp == 0 {
+            return 1.0;
+        }
+        let t = since_start as f64 / self.ramp as f64;
+        (self.floor + (1.0 - self.floor) * t).clamp(0.0, 1.0)
+    }
+}
+
 /// What a router is told once, at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -109,6 +120,25 @@
     pub parent_cold: ColdStart,
 }
 
+impl Settings {
+    /// How a member of a role behaves after its start; the origin's start is not told of.
+    pub fn cold_start(&self, role: Role) -> &ColdStart {
+        match role {
+            Role::Parent => &self.parent_cold,
+            _ => &self.cache_cold,
+        }
+    }
+
+    /// Time that the sending of `size_kb` to a client takes, us; 0 where the size or the flow is unknown.
+    pub fn sending_time(&self, size_kb: f64) -> f64 {
+        if size_kb > 0.0 && self.flow_kb_per_s > 0.0 {
+            size_kb / self.flow_kb_per_s * 1e6
+        } else {
+            0.0
+        }
+    }
+}
+
 /// What a member is to this router.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -183,6 +213,11 @@
         matches!(self, Self::Refused | Self::NoConnection | Self::NeverSent | Self::Miss)
     }
 
+    /// Whether the member itself answered, whatever it said.
+    pub fn is_answer(self) -> bool {
+        matches!(self, Self::Served | Self::Miss | Self::Refused | Self::Error)
+    }
+
     /// Whether the attempt was lost on its way to or from a member, which proves no load and no fault there.
     pub fn is_lost(self) -> bool {
         matches!(self, Self::Broken | Self::Spoilt | Self::NoConnection | Self::NeverSent)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod registry;
 pub mod rules;
 pub mod settings;
+mod stats;
 pub mod vrrp;
 pub mod wire;
 
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,184 @@
+//! Every decision of the router. The types of its settings, events and actions stand in `interface.rs`.
+//!
+//! This file holds the router's state and hands each event to its concern: `placement` (which cache, source
+//! and path), `health` (evidence, blame, probes), `capacity` (room, load shedding, slow start), `attempts`
+//! (time-outs, retries, answers) and `freshness` (purges and ages). Constants stand in their concern's file.
+
+mod attempts;
+mod capacity;
+mod freshness;
+mod health;
+mod placement;
+
+use crate::interface::*;
+use crate::stats::{Aimd, DecayingSum, LeakyBucket, RecentCounts, SeededDraws};
+use attempts::{Pace, RETRY_FIRST};
+use capacity::{FILL_ROOM, ORIGIN_ROOM};
+use health::Health;
+use placement::{COUNT_CAP, COUNT_SPAN};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Wait before asking again for the list after a failed call, us, and its timer's token.
+const LIST_RETRY: Micros = 1_000_000;
+const LIST_TIMER: u64 = 0;
+/// Transfers that fit on a cache's link where weights don't tell: a small machine's.
+const WEIGHT_GUESS: f64 = 4.0;
+
+/// What the host is to do, in order.
+type Actions = Vec<Action>;
+
+/// A member as listed, with what this router has seen of it since that process started.
+struct Member {
+    line: Listing,
+    health: Health,
+    /// Transfers that it is taken to bear at once, and when that was last cut.
+    room: f64,
+    room_cut_at: Micros,
+    /// This router's attempts that are out to it.
+    inflight: u32,
+    /// Sending time sent to it lately while cold, us, drained at its budget's pace.
+    spent: LeakyBucket,
+}
+
+impl Member {
+    /// Whether it may get new work, as far as the list and probes tell.
+    fn able(&self) -> bool {
+        self.line.life == Life::Live && !self.health.down
+    }
+}
+
+/// One attempt of a request.
+struct Attempt {
+    to: MemberId,
+    source: Option<MemberId>,
+    sent: Micros,
+    out: bool,
+    may_have_run: bool,
+    /// Its client's time allows less than the usual wait.
+    cut: bool,
+    /// Its connection broke or was spoilt.
+    lost: bool,
+}
+
+/// A request that is owed an answer, or whose attempts are still out.
+struct Pending {
+    class: usize,
+    object: ObjectId,
+    group: u32,
+    part: u32,
+    size_kb: f64,
+    give_up_at: Micros,
+    attempts: Vec<Attempt>,
+    /// No fill for it: it is served where it is held, else refused.
+    held_only: bool,
+    /// Nothing more is owed or sent; it stays until its attempts' outcomes are in.
+    done: bool,
+}
+
+/// The decisions of one router. See the crate's page for how to drive it.
+pub struct Router {
+    set: Settings,
+    random: SeededDraws,
+    members: BTreeMap<MemberId, Member>,
+    /// All parents ever listed, with their weights: an object's home is a place in this order.
+    parents: BTreeMap<MemberId, f64>,
+    requests: HashMap<RequestId, Pending>,
+    subscribed: bool,
+    /// When an object (or, without one, a group) was purged, as long as older copies may be about.
+    purges: HashMap<(Option<ObjectId>, u32), Micros>,
+    counts: RecentCounts,
+    pace: Vec<Pace>,
+    retries: DecayingSum,
+    /// Part of what no parent takes that may ask the origin; all of it at first.
+    origin_room: Aimd,
+    /// Part of the objects that may be filled; all of them at first.
+    fill_room: Aimd,
+}
+
+impl Router {
+    /// A router that knows nothing but its settings. The seed feeds all that is random.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Self {
+            random: SeededDraws::new(seed),
+            members: BTreeMap::new(),
+            parents: BTreeMap::new(),
+            requests: HashMap::new(),
+            subscribed: false,
+            purges: HashMap::new(),
+            counts: RecentCounts::new(COUNT_SPAN, COUNT_CAP),
+            pace: settings.classes.iter().map(Pace::of).collect(),
+            retries: DecayingSum::starting_with(RETRY_FIRST),
+            origin_room: ORIGIN_ROOM,
+            fill_room: FILL_ROOM,
+            set: settings,
+        }
+    }
+
+    /// Takes other settings. A class at a place of the list that it had keeps what was learned of it.
+    pub fn retune(&mut self, settings: Settings) {
+        let learned = self.set.classes.iter().zip(&self.pace).map(Some).chain(std::iter::repeat(None));
+        let paces = settings.classes.iter().zip(learned).map(|(class, old)| match old {
+            Some((same, pace)) if same == class => *pace,
+            _ => Pace::of(class),
+        });
+        self.pace = paces.collect();
+        self.set = settings;
+    }
+
+    /// Takes one event and appends what is to be done, in order.
+    pub fn handle(&mut self, now: Micros, event: &Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Members { full, entries } => self.on_members(now, *full, entries, actions),
+            Event::ListLost => actions.push(Action::Timer { token: LIST_TIMER, at: now + LIST_RETRY }),
+            Event::Request { .. } => self.on_request(now, event, actions),
+            Event::Outcome { .. } => self.on_outcome(now, event, actions),
+            Event::Streaming { id, attempt } => self.on_streaming(*id, *attempt, actions),
+            Event::Left { id } => self.conclude(*id, actions),
+            Event::Timer { token: LIST_TIMER } => actions.push(Action::Subscribe),
+            Event::Timer { token } => self.on_probe_due(*token, actions),
+            Event::Probed { member, verdict } => self.on_probed(now, *member, *verdict, actions),
+            Event::Purged { object, group, ago } => self.on_purged(now, *object, *group, *ago),
+        }
+    }
+
+    fn on_members(&mut self, now: Micros, full: bool, entries: &[Listing], actions: &mut Actions) {
+        if full {
+            let listed: BTreeSet<MemberId> = entries.iter().map(|e| e.id).collect();
+            self.members.retain(|id, _| listed.contains(id));
+        }
+        for e in entries {
+            // What is never used is not held: the cost of a decision follows the location, not the fleet.
+            if e.life == Life::Gone || e.role == Role::FarCache {
+                self.members.remove(&e.id);
+                continue;
+            }
+            let known = self.set.weights_known && e.weight.is_finite() && e.weight > 0.0;
+            let weight = if known { e.weight } else { WEIGHT_GUESS };
+            let line = Listing { weight, ..e.clone() };
+            if e.role == Role::Parent {
+                self.parents.insert(e.id, line.weight);
+            }
+            match self.members.get_mut(&e.id).filter(|m| m.line.started == e.started) {
+                Some(m) => m.line = line,
+                // A new process: what was known of an old one says nothing of it.
+                None => self.add_member(now, line),
+            }
+        }
+        if self.set.subscribe && !self.subscribed {
+            self.subscribed = true;
+            actions.push(Action::Subscribe);
+        }
+    }
+
+    fn add_member(&mut self, now: Micros, line: Listing) {
+        let fresh = Member {
+            health: Health::default(),
+            room: line.weight,
+            room_cut_at: 0,
+            inflight: self.members.get(&line.id).map_or(0, |m| m.inflight),
+            spent: LeakyBucket::new(now, self.first_debt()),
+            line,
+        };
+        self.members.insert(fresh.line.id, fresh);
+    }
+}
--- /dev/null
+++ b/src/stats/decay.rs
@@ -0,0 +1,59 @@
+//! Sums that decay exponentially with time, and a share of two of them.
+
+use crate::Micros;
+
+/// A sum whose parts decay by half in each half-life, which the caller gives at each use, in microseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DecayingSum {
+    sum: f64,
+    at: Micros,
+}
+
+impl DecayingSum {
+    /// A sum that begins to decay with its first change.
+    pub fn starting_with(sum: f64) -> Self {
+        Self { sum, at: Micros::MAX }
+    }
+
+    /// What is left of the sum.
+    pub fn value(&self, now: Micros, half_life: f64) -> f64 {
+        self.sum * (-(now.saturating_sub(self.at) as f64) / half_life).exp2()
+    }
+
+    /// The rate, per microsecond, at which steady additions would hold the sum where it is.
+    pub fn rate(&self, now: Micros, half_life: f64) -> f64 {
+        self.value(now, half_life) * std::f64::consts::LN_2 / half_life
+    }
+
+    /// Adds `x`, which may be negative.
+    pub fn add(&mut self, now: Micros, half_life: f64, x: f64) {
+        *self = Self { sum: self.value(now, half_life) + x, at: now };
+    }
+
+    /// Adds `x`, up to a sum of `max`.
+    pub fn add_up_to(&mut self, now: Micros, half_life: f64, x: f64, max: f64) {
+        *self = Self { sum: (self.value(now, half_life) + x).min(max), at: now };
+    }
+
+    /// Multiplies what is left by `factor`.
+    pub fn scale(&mut self, now: Micros, half_life: f64, factor: f64) {
+        *self = Self { sum: self.value(now, half_life) * factor, at: now };
+    }
+}
+
+/// Good and bad outcomes that decay, for the share of the bad ones.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DecayingShare {
+    /// Good outcomes.
+    pub good: DecayingSum,
+    /// Bad outcomes.
+    pub bad: DecayingSum,
+}
+
+impl DecayingShare {
+    /// The share of bad outcomes, in 0 to 1, with `prior` good ones added.
+    pub fn bad_share(&self, now: Micros, half_life: f64, prior: f64) -> f64 {
+        let (good, bad) = (self.good.value(now, half_life), self.bad.value(now, half_life));
+        bad / (good + bad + prior)
+    }
+}
--- /dev/null
+++ b/src/stats/mean_deviation.rs
@@ -0,0 +1,26 @@
+//! Moving mean and mean deviation, as TCP estimates round-trip times (Jacobson, 1988; RFC 6298).
+
+/// Exponentially weighted mean of a series and of its distance from that mean.
+#[derive(Clone, Copy, Debug)]
+pub struct MeanDeviation {
+    mean: f64,
+    deviation: f64,
+}
+
+impl MeanDeviation {
+    /// An estimate before any sample.
+    pub fn new(mean: f64, deviation: f64) -> Self {
+        Self { mean, deviation }
+    }
+
+    /// Takes a sample, with `gain` as its weight.
+    pub fn add(&mut self, x: f64, gain: f64) {
+        self.deviation += gain * ((x - self.mean).abs() - self.deviation);
+        self.mean += gain * (x - self.mean);
+    }
+
+    /// The value that lies so many deviations above the mean.
+    pub fn above(&self, deviations: f64) -> f64 {
+        self.mean + deviations * self.deviation
+    }
+}
--- /dev/null
+++ b/src/stats/tests.rs
@@ -0,0 +1,121 @@
+use super::*;
+
+#[test]
+fn a_sum_halves_in_each_half_life() {
+    let mut sum = DecayingSum::default();
+    sum.add(0, 100.0, 8.0);
+    assert_eq!(sum.value(100, 100.0), 4.0);
+    sum.add(200, 100.0, -1.0);
+    assert_eq!(sum.value(200, 100.0), 1.0);
+    sum.add_up_to(200, 100.0, 5.0, 3.0);
+    assert_eq!(sum.value(200, 100.0), 3.0);
+    sum.scale(300, 100.0, 0.5);
+    assert_eq!(sum.value(300, 100.0), 0.75);
+}
+
+#[test]
+fn a_first_sum_does_not_decay_before_its_first_change() {
+    let mut sum = DecayingSum::starting_with(5.0);
+    assert_eq!(sum.value(1_000_000, 10.0), 5.0);
+    sum.add(1_000_000, 10.0, 1.0);
+    assert_eq!(sum.value(1_000_010, 10.0), 3.0);
+}
+
+#[test]
+fn a_sums_rate_holds_it_where_it_is() {
+    let mut sum = DecayingSum::default();
+    (0..100_000).for_each(|now| sum.add(now, 1_000.0, 0.25));
+    assert!((sum.rate(100_000, 1_000.0) - 0.25).abs() < 0.001);
+}
+
+#[test]
+fn a_share_starts_from_its_prior() {
+    let mut share = DecayingShare::default();
+    assert_eq!(share.bad_share(0, 100.0, 3.0), 0.0);
+    share.bad.add(0, 100.0, 2.0);
+    share.good.add(0, 100.0, 3.0);
+    assert_eq!(share.bad_share(0, 100.0, 3.0), 0.25);
+}
+
+#[test]
+fn hashes_stay_the_same_in_every_build() {
+    assert_eq!(mix(0, 0), 0x8209_B480_FAED_1B10);
+    assert_eq!(mix(42, 7), 0x6CCA_0C5A_6227_74C3);
+    assert!((0..10_000).all(|n| unit(n, 1) > 0.0 && unit(n, 1) < 1.0));
+}
+
+#[test]
+fn rendezvous_shares_keys_by_weight_and_a_new_node_moves_only_its_own() {
+    let first = |key: u64, nodes: &[(u32, f64)]| rendezvous_first(key, nodes.iter().copied());
+    let (old, new) = ([(1, 1.0), (2, 3.0)], [(1, 1.0), (2, 3.0), (3, 4.0)]);
+    let second = (0..10_000).filter(|key| first(*key, &old) == Some(2)).count();
+    assert!((7_300..7_700).contains(&second), "{second}");
+    let moved: Vec<u64> = (0..10_000).filter(|key| first(*key, &old) != first(*key, &new)).collect();
+    assert!((4_800..5_200).contains(&moved.len()), "{}", moved.len());
+    assert!(moved.iter().all(|key| first(*key, &new) == Some(3)));
+}
+
+#[test]
+fn the_order_of_nodes_begins_with_the_first_and_keeps_the_rest_when_that_goes() {
+    let order = |key: u64, nodes: &[u32]| -> Vec<u32> {
+        let nodes = nodes.iter().map(|n| (*n, 2.0, ()));
+        rendezvous_order(key, nodes).into_iter().map(|(node, ())| node).collect()
+    };
+    for key in 0..100 {
+        let all = order(key, &[1, 2, 3, 4]);
+        assert_eq!(rendezvous_first(key, [1, 2, 3, 4].map(|n| (n, 2.0)).into_iter()), Some(all[0]));
+        let mut left = all[1..].to_vec();
+        left.sort();
+        assert_eq!(order(key, &left), all[1..]);
+    }
+}
+
+#[test]
+fn a_limit_grows_by_steps_and_is_cut_by_a_factor_within_its_bounds() {
+    let mut limit = Aimd { value: 0.5, step: 0.25, factor: 0.5, min: 0.25, max: 1.0 };
+    (0..5).for_each(|_| limit.increase());
+    assert_eq!(limit.value, 1.0);
+    limit.decrease();
+    assert_eq!(limit.value, 0.5);
+    (0..5).for_each(|_| limit.decrease());
+    assert_eq!(limit.value, 0.25);
+}
+
+#[test]
+fn draws_repeat_with_their_seed_and_differ_by_purpose() {
+    let (mut a, mut b, mut other) = (SeededDraws::new(7), SeededDraws::new(7), SeededDraws::new(7));
+    let drawn: Vec<f64> = (0..10).map(|_| a.next(1)).collect();
+    assert!(drawn.iter().all(|x| *x == b.next(1)));
+    assert!(drawn.iter().all(|x| *x != other.next(2)));
+}
+
+#[test]
+fn a_bucket_drains_to_empty_and_no_further() {
+    let mut bucket = LeakyBucket::new(0, 10.0);
+    assert_eq!(bucket.level(10, 0.5), 5.0);
+    bucket.add(10, 0.5, 2.0);
+    assert_eq!(bucket.level(12, 0.5), 6.0);
+    assert_eq!(bucket.level(1_000, 0.5), 0.0);
+}
+
+#[test]
+fn mean_and_deviation_follow_their_samples() {
+    let mut times = MeanDeviation::new(10.0, 2.0);
+    times.add(14.0, 0.5);
+    // The deviation is taken from the mean before the sample.
+    assert_eq!((times.above(0.0), times.above(1.0)), (12.0, 15.0));
+}
+
+#[test]
+fn counts_are_forgotten_after_two_spans_or_when_full() {
+    let mut counts = RecentCounts::new(100, 2);
+    counts.add(0, 7);
+    counts.add(100, 7);
+    assert_eq!(counts.get(7), 2.0);
+    counts.add(200, 8);
+    assert_eq!((counts.get(7), counts.get(8)), (1.0, 1.0));
+    counts.add(201, 9);
+    // Two keys fill a generation: the next call starts another.
+    counts.add(202, 9);
+    assert_eq!((counts.get(7), counts.get(8), counts.get(9)), (0.0, 1.0, 2.0));
+}
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -1,31 +1,73 @@
 //! The limits that the module's readers set.
 
-/// At most 950 lines that are not blank, none longer than 110 characters.
+use std::path::Path;
+
+const ROOT: &str = env!("CARGO_MANIFEST_DIR");
+
+/// Every file under `src/policy`, whatever its depth, with its text.
+fn policy_files() -> Vec<(String, String)> {
+    fn collect(folder: &Path, files: &mut Vec<(String, String)>) {
+        for entry in std::fs::read_dir(folder).expect("a folder") {
+            let path = entry.expect("an entry").path();
+            if path.is_dir() {
+                collect(&path, files);
+            } else {
+                let name = path.strip_prefix(ROOT).expect("under the root").display().to_string();
+                files.push((name, std::fs::read_to_string(&path).expect("text")));
+            }
+        }
+    }
+    let mut files = Vec::new();
+    collect(&Path::new(ROOT).join("src/policy"), &mut files);
+    files
+}
+
+/// At most 950 lines that are not blank in all files together, none longer than 110 characters.
 #[test]
 fn policy_stays_within_its_limits() {
-    let text = include_str!("../src/policy.rs");
-    let lines = text.lines().filter(|line| !line.trim().is_empty()).count();
-    assert!(lines <= 950, "src/policy.rs has {lines} lines that are not blank");
-    for (number, line) in text.lines().enumerate() {
-        assert!(line.chars().count() <= 110, "src/policy.rs line {} is too long", number + 1);
+    let files = policy_files();
+    assert!(files.len() > 1, "{files:?}");
+    let count = |text: &str| text.lines().filter(|line| !line.trim().is_empty()).count();
+    let lines: usize = files.iter().map(|(_, text)| count(text)).sum();
+    assert!(lines <= 950, "src/policy has {lines} lines that are not blank");
+    for (name, text) in &files {
+        for (number, line) in text.lines().enumerate() {
+            assert!(line.chars().count() <= 110, "{name} line {} is too long", number + 1);
+        }
     }
+    assert!(!Path::new(ROOT).join("src/policy.rs").exists(), "the module is the folder alone");
 }
 
 /// The head of the module names the file of its interface.
 #[test]
 fn policy_names_its_interface() {
-    let head: Vec<&str> = include_str!("../src/policy.rs").lines().take(3).collect();
+    let head: Vec<&str> = include_str!("../src/policy/mod.rs").lines().take(3).collect();
     assert!(head.join(" ").contains("interface.rs"));
 }
 
+/// The paths that a list of the deploy file names.
+fn deploy_paths(list: &str) -> Vec<&'static str> {
+    let text = include_str!("../deploy/balancer.toml");
+    let line = text.lines().find(|line| line.starts_with(list)).expect("the list");
+    line.split('"').skip(1).step_by(2).collect()
+}
+
 /// What the deploy file names as the module and the proxy is there.
 #[test]
 fn the_deploy_file_names_what_exists() {
-    let text = include_str!("../deploy/balancer.toml");
-    let lists = text.lines().filter(|line| line.starts_with("policy") || line.starts_with("node"));
-    let paths: Vec<&str> = lists.flat_map(|line| line.split('"').skip(1).step_by(2)).collect();
+    let paths = [deploy_paths("policy"), deploy_paths("node")].concat();
     assert!(paths.len() > 2, "{paths:?}");
     for path in paths {
-        assert!(std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join(path).exists(), "{path}");
+        assert!(Path::new(ROOT).join(path).exists(), "{path}");
     }
 }
+
+/// The deploy file names each file of the module and no other.
+#[test]
+fn the_deploy_file_names_all_of_the_module() {
+    let mut named = deploy_paths("policy");
+    let mut files: Vec<String> = policy_files().into_iter().map(|(name, _)| name).collect();
+    named.sort();
+    files.sort();
+    assert_eq!(named, files);
+}
