Decision module: bounds are named MAX_ and MIN_, the late state congestion; nothing else changes

The bounds of the module's constants end in no MOST, LEAST, LONGEST or CAP any more, a jam is congestion, what was called well or ill is healthy or failing, and the final answer of a request is refuse_or_fail.

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -1,6 +1,6 @@
 //! A request's attempts: their time-outs, which repeats are allowed, the retry budget, and the final answer.
 
-use super::{capacity::JAM, health::EVIDENCE_LONGEST, Actions, Attempt, Member, Pending, Router};
+use super::{capacity::CONGESTED, health::MAX_HALF_LIFE, Actions, Attempt, Member, Pending, Router};
 use crate::interface::*;
 use crate::stats::{DecayingShare, MeanDeviation};
 
@@ -13,20 +13,20 @@
 /// What a timed-out attempt is taken to have needed, in multiples of its time-out.
 const CENSORED: f64 = 1.5;
 /// Retries earned by each new request, so that they can't multiply overload ...
-const RETRY_EARN: f64 = 0.05;
-/// ... the most saved up, which fades over EVIDENCE_LONGEST: a hundred routers that each hold what a busy one
-/// may would spend it all at once on the same ill source; and what there is at the start.
-const RETRY_CAP: f64 = 20.0;
-pub(super) const RETRY_FIRST: f64 = 5.0;
+const RETRIES_PER_REQUEST: f64 = 0.05;
+/// ... the most saved up, which fades over MAX_HALF_LIFE: a hundred routers that each hold what a busy one
+/// may would spend it all at once on the same failing source; and what there is at the start.
+const MAX_RETRIES: f64 = 20.0;
+pub(super) const INITIAL_RETRIES: f64 = 5.0;
 /// With less than this left of a request's time no attempt is worth sending, us.
-const LEAST_LEFT: Micros = 10_000;
+const MIN_TIME_LEFT: Micros = 10_000;
 /// Deviations above the mean at which an attempt is given up, as in TCP's retransmission timer.
 const TIMEOUT_DEVIATIONS: f64 = 4.0;
 /// An attempt waits at least this part of the aim, and at most this part of the time left.
-const TIMEOUT_LEAST_OF_AIM: f64 = 1.2;
-/// The same in a jam, where an answer is slow for others' sake and giving it up wastes what was sent.
-const TIMEOUT_LEAST_JAMMED: f64 = 2.5;
-const TIMEOUT_MOST_OF_LEFT: f64 = 0.85;
+const MIN_TIMEOUT_OF_AIM: f64 = 1.2;
+/// The same under congestion, where an answer is slow for others' sake and giving it up wastes what was sent.
+const MIN_TIMEOUT_CONGESTED: f64 = 2.5;
+const MAX_TIMEOUT_OF_LEFT: f64 = 0.85;
 /// Ranks at which a copy is kept: the first time this router is asked for an object, and later.
 const RANKS: (u8, u8) = (1, 2);
 /// Wait hint with a refusal, us, before jitter: a try that comes too late for the aim earns little.
@@ -73,7 +73,7 @@
         if self.requests.contains_key(&id) {
             return;
         }
-        self.retries.add_up_to(now, EVIDENCE_LONGEST, RETRY_EARN, RETRY_CAP);
+        self.retries.add_up_to(now, MAX_HALF_LIFE, RETRIES_PER_REQUEST, MAX_RETRIES);
         self.counts.add(now, object);
         let (size_kb, attempts, held_only, done) = (size_kb.max(0.0), Vec::new(), false, false);
         let req = Pending { class, object, group, part, size_kb, give_up_at, attempts, held_only, done };
@@ -86,22 +86,22 @@
         let Some(req) = self.requests.get(&id) else { return };
         let left = req.give_up_at.saturating_sub(now);
         let cost = last.map_or(0.0, |(_, cost)| cost);
-        let saved = self.retries.value(now, EVIDENCE_LONGEST);
+        let saved = self.retries.value(now, MAX_HALF_LIFE);
         let tries = req.attempts.len() < self.set.max_attempts.max(1) as usize;
         // Past its aim a request earns little for a whole sending time more: not where others wait for it.
         let since = req.attempts.first().map_or(0, |a| now.saturating_sub(a.sent));
-        let vain = since as f64 > self.aim(req) && self.jam(now, req.class) > JAM;
+        let too_late = since as f64 > self.aim(req) && self.congestion(now, req.class) > CONGESTED;
         // A cache that was asked only for what it holds, and lacks it: there was no room for a fill.
-        let lacks = last.is_some_and(|(verdict, _)| verdict == Verdict::Miss);
+        let not_held = last.is_some_and(|(verdict, _)| verdict == Verdict::Miss);
         let (full, held_only) = last.map_or_else(|| self.overloaded(now, req), |_| (false, req.held_only));
         if let Some(req) = self.requests.get_mut(&id) {
             req.held_only = held_only;
         }
-        let over = left < LEAST_LEFT || saved < cost || !tries || vain || lacks || full;
+        let over = left < MIN_TIME_LEFT || saved < cost || !tries || too_late || not_held || full;
         if over || !self.send(now, id, actions) {
-            return self.give_up(now, id, actions);
+            return self.refuse_or_fail(now, id, actions);
         }
-        self.retries.add(now, EVIDENCE_LONGEST, -cost);
+        self.retries.add(now, MAX_HALF_LIFE, -cost);
     }
 
     /// Until when doing a request once more is harmless; later, a keyed one that has run may run again.
@@ -146,14 +146,14 @@
         let left = req.give_up_at.saturating_sub(now) as f64;
         let (pace, work, aim) = (self.pace[req.class], self.set.sending_time(req.size_kb), self.aim(req));
         let usual = (BASE_TIME + work) * pace.time.above(TIMEOUT_DEVIATIONS);
-        let jammed = self.jam(now, req.class) > JAM;
-        let least = if jammed { TIMEOUT_LEAST_JAMMED } else { TIMEOUT_LEAST_OF_AIM };
+        let congested = self.congestion(now, req.class) > CONGESTED;
+        let least = if congested { MIN_TIMEOUT_CONGESTED } else { MIN_TIMEOUT_OF_AIM };
         let patience = usual.max(least * aim);
         // Where no second try would fit, the first has all there is.
-        let most = if patience < left { TIMEOUT_MOST_OF_LEFT * left } else { left };
+        let most = if patience < left { MAX_TIMEOUT_OF_LEFT * left } else { left };
         let (timeout, cut) = (patience.min(most) as Micros, patience > most);
         // Where fresh copies come too late, an ageing one that is renewed behind is worth more.
-        let stale = !req.attempts.is_empty() || jammed;
+        let stale = !req.attempts.is_empty() || congested;
         let max_age = self.age_bound(now, req, stale, to);
         let again = if self.counts.get(req.object) > 1.0 { RANKS.1 } else { RANKS.0 };
         let keep = if class.uncacheable { 0 } else { again };
@@ -223,7 +223,7 @@
     }
 
     /// The final answer, at once: refused where trying again is harmless, else failed.
-    fn give_up(&mut self, now: Micros, id: RequestId, actions: &mut Actions) {
+    fn refuse_or_fail(&mut self, now: Micros, id: RequestId, actions: &mut Actions) {
         let Some(req) = self.requests.get(&id) else { return };
         let class = &self.set.classes[req.class];
         let until = self.repeats_until(req);
@@ -237,7 +237,8 @@
         self.conclude(id, actions);
     }
 
-    /// Nothing more is owed: what is still out is called off, and the request goes with its last outcome.
+    /// Nothing more is to be answered: what is still out is called off, and the request goes with its last
+    /// outcome.
     pub(super) fn conclude(&mut self, id: RequestId, actions: &mut Actions) {
         let Some(req) = self.requests.get_mut(&id) else { return };
         if !std::mem::replace(&mut req.done, true) {
--- a/src/policy/capacity.rs
+++ b/src/policy/capacity.rs
@@ -7,13 +7,13 @@
 
 /// What a room's worth of answers in time at a full cache adds to the room it is taken to have, where
 /// weights don't tell: as much where it is wide, as in TCP, since a share of it would outrun all cuts ...
-const ROOM_MORE: f64 = 1.0;
+const ROOM_INCREASE: f64 = 1.0;
 /// ... what a late one leaves of it, down to the guess, and the most of it in multiples of the guess: a guess
 /// alone must not refuse what is answered in time.
-const ROOM_LESS: f64 = 0.9;
-const ROOM_MOST: f64 = 16.0;
+const ROOM_DECREASE: f64 = 0.9;
+const MAX_ROOM: f64 = 16.0;
 /// Least time between two cuts of a cache's room, us: late answers of one cause come together, as in TCP.
-const ROOM_GAP: Micros = 500_000;
+const MIN_ROOM_CUT_GAP: Micros = 500_000;
 /// Part of the stated multiple of a cold member's capacity that all routers together may use.
 const COLD_USE: f64 = 0.5;
 /// Part of a cold member's budget over the rule's window that may be spent at once.
@@ -21,29 +21,29 @@
 /// Transfers that the location's mean weighs in a cache's load, so that few at once don't spill by chance.
 const LOAD_DOUBT: f64 = 1.5;
 /// The part of what no parent takes that may ask the origin: what an answer in time adds, what a failure
-/// leaves, and the least, to see when it is well.
+/// leaves, and the least, to see when it is healthy.
 pub(super) const ORIGIN_ROOM: Aimd = Aimd { value: 1.0, step: 0.03, factor: 0.8, min: 0.05, max: 1.0 };
 /// The part of the objects that may be filled: what an answer in time adds, what a late one leaves, and the
 /// least: all routers leave out the same objects for a COUNT_SPAN, so that the others are filled once and
 /// then kept, and the origin goes on doing what only it can.
 pub(super) const FILL_ROOM: Aimd = Aimd { value: 1.0, step: 0.05, factor: 0.9, min: 0.2, max: 1.0 };
 /// Good outcomes that are taken for granted in the share of late answers of a class.
-const JAM_PRIOR: f64 = 3.0;
-/// Share of late answers from which on there is a jam.
-pub(super) const JAM: f64 = 0.1;
+const CONGESTION_PRIOR: f64 = 3.0;
+/// Share of late answers from which on there is congestion.
+pub(super) const CONGESTED: f64 = 0.1;
 /// Transfers at once, in multiples of what fits on a cache's link, at which a request of mean worth for its
 /// sending time is refused ...
 const LOAD_SHED: f64 = 3.0;
 /// ... others by their own worth for their sending time over the mean, within these bounds:
 /// what fills a link for the least worth goes first, and a few large objects make room for many.
 const SHED_VALUE: (f64, f64) = (0.6, 1.5);
-/// The lower of them in a jam: without one no object is too large.
-const SHED_VALUE_JAMMED: f64 = 0.15;
-/// How much of these bounds a wholly late location loses, in multiples: a jam that no cache's own room shows,
-/// such as of the location's link, must lower what is admitted ...
+/// The lower of them under congestion: without one no object is too large.
+const SHED_VALUE_CONGESTED: f64 = 0.15;
+/// How much of these bounds a wholly late location loses, in multiples: congestion that no cache's own room
+/// shows, such as of the location's link, must lower what is admitted ...
 const LATE_SHED: f64 = 3.0;
 /// ... and the least of them that stays.
-const SHED_LEAST: f64 = 0.3;
+const MIN_SHED: f64 = 0.3;
 
 impl Router {
     /// The part of its capacity that a member surely has by now.
@@ -57,7 +57,7 @@
 
     /// Any router's first item would fit a cold member's budget; were all to send theirs at once, the sum
     /// would not. So each begins at a random point of the time that its part of the budget takes for one.
-    pub(super) fn first_debt(&mut self) -> f64 {
+    pub(super) fn initial_spent(&mut self) -> f64 {
         self.pace.iter().map(|p| p.work).fold(0.0, f64::max) * self.random.next(3)
     }
 
@@ -88,13 +88,13 @@
     /// are drawn to the location's mean, less a standard deviation (Poisson) of what it does not see.
     pub(super) fn load(&self, now: Micros, id: MemberId) -> f64 {
         let Some(m) = self.members.get(&id) else { return f64::MAX };
-        let seats = f64::from(self.set.routers_here.max(1));
-        let room = |m: &Member| m.room * self.warmth(now, m) / seats;
+        let routers = f64::from(self.set.routers_here.max(1));
+        let room = |m: &Member| m.room * self.warmth(now, m) / routers;
         let here = |m: &&Member| m.line.role == Role::Cache && m.line.life == Life::Live;
         let here = || self.members.values().filter(here);
         let out: f64 = here().map(|m| f64::from(m.inflight)).sum();
         let mean = (out * room(m) / here().map(room).sum::<f64>()).max(0.0);
-        let sure = 1.0 - (1.0 - 1.0 / seats) / (out + 1.0).sqrt();
+        let sure = 1.0 - (1.0 - 1.0 / routers) / (out + 1.0).sqrt();
         sure * mean * (LOAD_DOUBT + f64::from(m.inflight)) / (LOAD_DOUBT + mean) / room(m)
     }
 
@@ -103,11 +103,11 @@
         let load = self.load(now, id);
         let Some(m) = self.members.get_mut(&id).filter(|_| !self.set.weights_known) else { return };
         // Late answers of a cache that is not even half full are its sources' or its location's link's.
-        let cut = late && load >= 0.5 && now >= m.room_cut_at + ROOM_GAP;
+        let cut = late && load >= 0.5 && now >= m.room_cut_at + MIN_ROOM_CUT_GAP;
         m.room_cut_at = if cut { now } else { m.room_cut_at };
-        let more = if load >= 1.0 && !late { ROOM_MORE / m.room } else { 0.0 };
-        let size = if cut { m.room * ROOM_LESS } else { m.room + more };
-        m.room = size.clamp(m.line.weight, ROOM_MOST * m.line.weight);
+        let more = if load >= 1.0 && !late { ROOM_INCREASE / m.room } else { 0.0 };
+        let size = if cut { m.room * ROOM_DECREASE } else { m.room + more };
+        m.room = size.clamp(m.line.weight, MAX_ROOM * m.line.weight);
     }
 
     /// Learns from an outcome that was no hit what may be filled and what the origin bears.
@@ -134,13 +134,13 @@
     }
 
     /// Share of late answers among a class's at this router.
-    pub(super) fn jam(&self, now: Micros, class: usize) -> f64 {
-        self.pace[class].answers.bad_share(now, EVIDENCE_HALF_LIFE, JAM_PRIOR)
+    pub(super) fn congestion(&self, now: Micros, class: usize) -> f64 {
+        self.pace[class].answers.bad_share(now, EVIDENCE_HALF_LIFE, CONGESTION_PRIOR)
     }
 
     /// Whether a new request is refused, and whether it gets no fill. What earns least for its sending time
-    /// goes first. In a jam that no cache's own room shows, of links or sources, only fills are shed: what a
-    /// cache holds costs them nothing, and nothing tells so well what it holds as asking for just that.
+    /// goes first. Under congestion that no cache's own room shows, of links or sources, only fills are shed:
+    /// what a cache holds costs them nothing, and nothing tells what it holds so well as asking for it.
     pub(super) fn overloaded(&self, now: Micros, req: &Pending) -> (bool, bool) {
         let class = &self.set.classes[req.class];
         if class.uncacheable {
@@ -151,11 +151,11 @@
         let mean = kept().map(|(c, p)| c.worth / p.work).sum::<f64>() / kept().count() as f64;
         let sending = self.set.sending_time(req.size_kb).max(QUICK_WAY);
         let own = if req.size_kb > 0.0 { sending } else { self.pace[req.class].work };
-        let jam = self.jam(now, req.class);
-        let least = if jam > JAM { SHED_VALUE_JAMMED } else { SHED_VALUE.0 };
+        let congestion = self.congestion(now, req.class);
+        let least = if congestion > CONGESTED { SHED_VALUE_CONGESTED } else { SHED_VALUE.0 };
         let bound = LOAD_SHED * (class.worth / own / mean).clamp(least, SHED_VALUE.1);
         let load = self.load(now, cache);
         let left_out = self.fill_room.value < unit(req.object, now / COUNT_SPAN);
-        (load > bound, left_out || load > bound * (1.0 - LATE_SHED * jam).max(SHED_LEAST))
+        (load > bound, left_out || load > bound * (1.0 - LATE_SHED * congestion).max(MIN_SHED))
     }
 }
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -12,9 +12,9 @@
 /// second, evidence that fades by the clock alone never adds up to a verdict ...
 const EVIDENCE_OUTCOMES: f64 = 10.0;
 /// ... and the longest half-life for that, us.
-pub(super) const EVIDENCE_LONGEST: f64 = 10_000_000.0;
+pub(super) const MAX_HALF_LIFE: f64 = 10_000_000.0;
 /// Outcomes, good or bad, from which on a member is an example to its peers: a new process has none.
-const EVIDENCE_LEAST: f64 = 0.5;
+const MIN_EVIDENCE: f64 = 0.5;
 /// Good outcomes that are taken for granted, so that one failure proves little.
 const HEALTH_PRIOR: f64 = 1.5;
 /// Share of bad outcomes above the best peer's up to which a member counts as healthy.
@@ -32,22 +32,22 @@
 /// were hits, and would hide a source that fails.
 const SOURCE_CREDIT: f64 = 0.1;
 /// The most bad evidence held, in outcomes ...
-const BAD_CAP: f64 = 10.0;
+const MAX_BAD: f64 = 10.0;
 /// ... and in time to fade, us: the longest wait of a recovered member for its first trickle at any router.
 const BAD_WAIT: f64 = 5_000_000.0;
 /// The most good evidence held, in outcomes: a long good past must not hide a sudden failure.
-const GOOD_CAP: f64 = 15.0;
+const MAX_GOOD: f64 = 15.0;
 /// What a full failure leaves of the good evidence: a run of failures tells more than their share.
 const GOOD_LEFT: f64 = 0.8;
 /// Suspicion of a member without a bad outcome, beside the share of bad ones.
-const SUSPICION_LEAST: f64 = 0.1;
+const MIN_SUSPICION: f64 = 0.1;
 /// How much more suspect than the other a member of a path that mostly fails must be to get all the
 /// blame: a part of a failing cache's many errors would be enough to drown what its sources serve well.
 const CULPRIT: f64 = 2.5;
 /// Failures in a row from which on a cache is probed, and probes without an answer that say it is down.
 const PROBE_RUN: u32 = 2;
 /// Least time between probes of a member that answers, us: probes have a price.
-const PROBE_GAP: Micros = 3_000_000;
+const MIN_PROBE_GAP: Micros = 3_000_000;
 /// Time after a probe without an answer until the next, us ...
 const PROBE_DOUBT: Micros = 300_000;
 /// ... and once the member is down: a successor should be met soon after it starts.
@@ -59,7 +59,7 @@
 #[derive(Default)]
 pub(super) struct Health {
     outcomes: DecayingShare,
-    /// Outcomes of this router's over EVIDENCE_LONGEST, for how fast evidence may fade.
+    /// Outcomes of this router's over MAX_HALF_LIFE, for how fast evidence may fade.
     asked: DecayingSum,
     /// Failures in a row with it on the path, and unanswered probes in a row.
     pub(super) run: u32,
@@ -76,8 +76,8 @@
 impl Health {
     /// Half-life of a member's evidence: longer, the less this router asks of it.
     fn half_life(&self, now: Micros) -> f64 {
-        let per_us = self.asked.rate(now, EVIDENCE_LONGEST);
-        (EVIDENCE_OUTCOMES / per_us).clamp(EVIDENCE_HALF_LIFE, EVIDENCE_LONGEST)
+        let per_us = self.asked.rate(now, MAX_HALF_LIFE);
+        (EVIDENCE_OUTCOMES / per_us).clamp(EVIDENCE_HALF_LIFE, MAX_HALF_LIFE)
     }
     /// Share of bad outcomes, as far as the evidence goes.
     fn bad_rate(&self, now: Micros) -> f64 {
@@ -87,10 +87,10 @@
 
 impl Router {
     /// The least share of bad outcomes among a role's peers. A lone parent, or all of them, may limp while
-    /// the origin is well: it is their peer as a source. What nothing is known of is no example.
+    /// the origin is healthy: it is their peer as a source. What nothing is known of is no example.
     fn least_bad(&self, now: Micros, role: Role) -> f64 {
         let peer = |m: &Member| m.line.role == role || (role == Role::Parent && m.line.role == Role::Origin);
-        let known = |m: &&Member| m.health.asked.value(now, EVIDENCE_LONGEST) >= EVIDENCE_LEAST;
+        let known = |m: &&Member| m.health.asked.value(now, MAX_HALF_LIFE) >= MIN_EVIDENCE;
         let peers = self.members.values().filter(|m| m.able() && peer(m)).filter(known);
         peers.map(|m| m.health.bad_rate(now)).min_by(f64::total_cmp).unwrap_or(0.0)
     }
@@ -113,7 +113,7 @@
         self.members.values().filter(live).count() - shares.iter().filter(|(.., share)| *share > 0.0).count()
     }
 
-    /// Learns from an outcome: the class's pace, what may be asked, and who on the path did well or ill.
+    /// Learns from an outcome: the class's pace, what may be asked, and who on the path succeeded or failed.
     pub(super) fn learn(&mut self, now: Micros, outcome: &Event) {
         let Event::Outcome { id, attempt, verdict, note, took, .. } = *outcome else { return };
         let Some(req) = self.requests.get(&id) else { return };
@@ -164,11 +164,11 @@
     fn credit(&mut self, now: Micros, id: MemberId, ok: bool, good: f64, bad: f64) {
         let Some(health) = self.members.get_mut(&id).map(|m| &mut m.health) else { return };
         let half = health.half_life(now);
-        health.asked.add(now, EVIDENCE_LONGEST, if ok { good } else { bad }.min(1.0));
+        health.asked.add(now, MAX_HALF_LIFE, if ok { good } else { bad }.min(1.0));
         if ok {
-            health.outcomes.good.add_up_to(now, half, good, GOOD_CAP);
+            health.outcomes.good.add_up_to(now, half, good, MAX_GOOD);
         } else {
-            let most = BAD_CAP.min(HEALTH_PRIOR * (BAD_WAIT / half).exp2());
+            let most = MAX_BAD.min(HEALTH_PRIOR * (BAD_WAIT / half).exp2());
             health.outcomes.bad.add_up_to(now, half, bad, most);
             health.outcomes.good.scale(now, half, GOOD_LEFT.powf(bad.min(1.0)));
         }
@@ -178,7 +178,7 @@
     /// cache that fails with every source is the cache, a source that fails through every cache the source.
     fn blame(&mut self, now: Micros, to: MemberId, source: Option<MemberId>, weight: f64) {
         let suspicion =
-            |id: MemberId| self.members.get(&id).map_or(0.0, |m| SUSPICION_LEAST + m.health.bad_rate(now));
+            |id: MemberId| self.members.get(&id).map_or(0.0, |m| MIN_SUSPICION + m.health.bad_rate(now));
         let (there, behind) = (suspicion(to), source.map_or(0.0, suspicion));
         let part = match there / behind {
             ratio if ratio >= CULPRIT && there >= BAD_OUT => 1.0,
@@ -196,7 +196,7 @@
         let Some(m) = self.members.get_mut(&id).filter(|m| m.line.role != Role::Origin) else { return };
         m.health.run += 1;
         let doubt = plain || m.line.role == Role::Parent || m.health.run >= PROBE_RUN;
-        let due = m.health.misses == 0 && now >= m.health.probed_at + PROBE_GAP;
+        let due = m.health.misses == 0 && now >= m.health.probed_at + MIN_PROBE_GAP;
         if probing && doubt && due && m.line.life == Life::Live {
             m.health.probed_at = now;
             actions.push(Action::Probe { member: id });
@@ -212,7 +212,7 @@
     }
 
     pub(super) fn on_probed(&mut self, now: Micros, id: MemberId, verdict: Verdict, actions: &mut Actions) {
-        let debt = self.first_debt();
+        let spent = self.initial_spent();
         let Some(m) = self.members.get_mut(&id) else { return };
         let plain = matches!(verdict, Verdict::NoConnection | Verdict::Broken);
         if plain || verdict == Verdict::TimedOut {
@@ -224,7 +224,7 @@
         } else {
             if std::mem::replace(&mut m.health.down, false) {
                 // Most likely a new process, cold and empty: guards it against all coming back at once.
-                (m.health.revived, m.spent) = (now, LeakyBucket::new(now, debt));
+                (m.health.revived, m.spent) = (now, LeakyBucket::new(now, spent));
                 m.health.outcomes = DecayingShare::default();
             }
             m.health.misses = 0;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,10 +12,10 @@
 
 use crate::interface::*;
 use crate::stats::{Aimd, DecayingSum, LeakyBucket, RecentCounts, SeededDraws};
-use attempts::{Pace, RETRY_FIRST};
+use attempts::{Pace, INITIAL_RETRIES};
 use capacity::{FILL_ROOM, ORIGIN_ROOM};
 use health::Health;
-use placement::{COUNT_CAP, COUNT_SPAN};
+use placement::{COUNT_SPAN, MAX_COUNTED};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Wait before asking again for the list after a failed call, us, and its timer's token.
@@ -71,7 +71,7 @@
     attempts: Vec<Attempt>,
     /// No fill for it: it is served where it is held, else refused.
     held_only: bool,
-    /// Nothing more is owed or sent; it stays until its attempts' outcomes are in.
+    /// Nothing more is to be answered or sent; it stays until its attempts' outcomes are in.
     done: bool,
 }
 
@@ -105,9 +105,9 @@
             requests: HashMap::new(),
             subscribed: false,
             purges: HashMap::new(),
-            counts: RecentCounts::new(COUNT_SPAN, COUNT_CAP),
+            counts: RecentCounts::new(COUNT_SPAN, MAX_COUNTED),
             pace: settings.classes.iter().map(Pace::of).collect(),
-            retries: DecayingSum::starting_with(RETRY_FIRST),
+            retries: DecayingSum::starting_with(INITIAL_RETRIES),
             origin_room: ORIGIN_ROOM,
             fill_room: FILL_ROOM,
             set: settings,
@@ -176,7 +176,7 @@
             room: line.weight,
             room_cut_at: 0,
             inflight: self.members.get(&line.id).map_or(0, |m| m.inflight),
-            spent: LeakyBucket::new(now, self.first_debt()),
+            spent: LeakyBucket::new(now, self.initial_spent()),
             line,
         };
         self.members.insert(fresh.line.id, fresh);
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -9,9 +9,9 @@
 use crate::stats::{mix, rendezvous_first, rendezvous_order, unit};
 
 /// Attempts at one cache that may break or be spoilt before the request goes elsewhere.
-const SAME_MOST: usize = 2;
+const MAX_SAME_CACHE: usize = 2;
 /// Transfers at once, in multiples of what fits on a cache's link, up to which an object stays at its cache:
-/// well above what aims allow, since a spilled object is a miss, and misses jam the location's link.
+/// well above what aims allow, since a spilled object is a miss, and misses congest the location's link.
 const LOAD_SPILL: f64 = 4.0;
 /// Requests for an object in the counts from which on it uses two caches ...
 const WIDEN_TWO: f32 = 2.0;
@@ -20,7 +20,7 @@
 /// Span of a generation of the counts of objects, us: parts of an object follow each other within seconds.
 pub(super) const COUNT_SPAN: Micros = 10_000_000;
 /// The most objects in a generation: bounds memory.
-pub(super) const COUNT_CAP: usize = 50_000;
+pub(super) const MAX_COUNTED: usize = 50_000;
 
 impl Pending {
     /// Attempts that tell where the next should go: a connection that ended says nothing of the path.
@@ -30,7 +30,7 @@
     /// Whether a cache may still be asked: guards its copies against a request that leaves it for a reset.
     fn open_to(&self, id: MemberId) -> bool {
         let there = || self.attempts.iter().filter(|a| a.to == id);
-        there().all(|a| a.lost) && there().count() < SAME_MOST
+        there().all(|a| a.lost) && there().count() < MAX_SAME_CACHE
     }
 }
 
