A cache's note of the path of its answer reaches the decision module

Seen: the cache protocol's answers carry `note` (a hit, a fill, which part of a fill failed), and the module judges by it, but the engine told it Note::Silent for every answer (engine/mod.rs settle, lines.rs LineCodec::line, which skipped the field). On sockets an error of the origin was so blamed on the cache and the parent in front of it, while the simulator's adapter told the module better.

Change: wire/path_note.rs types the ten notes, by their words and by the simulator's numbers, with the one translation to the module's Note, that the adapter now uses too (its own copy is gone). The codec reads the field, and the engine hands it over with the outcome of that attempt; an answer that is not passed on (spoilt) and an end without an answer stay silent. As in the adapter, what the settings announce (`notesGiven`) filters nothing: what comes is told. A note that is unknown, empty or has no value is silent and costs no answer; `slow` is still not read.

Checked: the new engine test sends 29 requests whose attempts by way of the object's parent end in errors. With the note ORIGIN_ERR the next request still names that parent, without a note or with UP_DOWN it does not. It fails (OriginError: false, expected true) with the engine telling Note::Silent as before.

--- a/src/bin/calicobeam-adapter/wire.rs
+++ b/src/bin/calicobeam-adapter/wire.rs
@@ -1,7 +1,8 @@
 //! The wire's messages, typed, and their translation.
 
 use calicobeam::settings::{lenient, Env, Row};
-use calicobeam::{Action, Event, Note, Verdict};
+use calicobeam::wire::path_note::PathNote;
+use calicobeam::{Action, Event, Verdict};
 use serde::{Deserialize, Serialize};
 
 /// The messages that are read; all others are skipped.
@@ -171,7 +172,7 @@
                 id: request_id.0,
                 attempt: hop,
                 verdict: verdict(&status)?,
-                note: note(detail),
+                note: PathNote::from_number(detail).into(),
                 took: took_us,
                 closed,
             },
@@ -200,18 +201,6 @@
     })
 }
 
-fn note(detail: u64) -> Note {
-    match detail {
-        1 | 5 => Note::Hit,
-        2..=4 => Note::Filled,
-        6 | 7 => Note::SourceFailed,
-        8 => Note::SourceLacks,
-        9 => Note::NoFillPlace,
-        10 => Note::OriginFailed,
-        _ => Note::Silent,
-    }
-}
-
 /// The messages that are written, by their names on the wire.
 #[derive(Serialize)]
 #[serde(tag = "cmd")]
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -472,7 +472,7 @@
             };
             self.finish(id.0, answer);
         }
-        self.settle(id, verdict);
+        self.settle_noted(id, verdict, reply.note.into());
         self.run();
         self.effects.push_back(Effect::Wake(conn));
     }
@@ -749,19 +749,17 @@
         }
     }
 
-    /// Ends an attempt, and tells the module at the next [`Self::run`].
+    /// Ends an attempt of whose path nothing is told, and tells the module at the next [`Self::run`].
     fn settle(&mut self, id: AttemptId, verdict: Verdict) {
+        self.settle_noted(id, verdict, Note::Silent);
+    }
+
+    /// Ends an attempt, and tells the module at the next [`Self::run`], with what is told of the path.
+    fn settle_noted(&mut self, id: AttemptId, verdict: Verdict, note: Note) {
         let Some(attempt) = self.attempts.end(id) else { return };
         let took = micros(self.clock.now() - attempt.sent_ms);
         let closed = self.requests.get(id.0).is_none();
-        self.events.push_back(Event::Outcome {
-            id: id.0,
-            attempt: id.1,
-            verdict,
-            note: Note::Silent,
-            took,
-            closed,
-        });
+        self.events.push_back(Event::Outcome { id: id.0, attempt: id.1, verdict, note, took, closed });
     }
 
     /// Takes an attempt off its connection; what was written is given up there.
--- a/src/wire/lines.rs
+++ b/src/wire/lines.rs
@@ -1,5 +1,6 @@
 //! The pop caches' protocol: lines of words that end in CR LF, with bodies of a stated length.
 
+use super::path_note::PathNote;
 use super::WireError;
 use crate::purge::selector::Tag;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -41,6 +42,8 @@
     pub born: Option<f64>,
     /// The copy's surrogate keys, where the member tells them (`tags=a+b`, boxes that take fleet purges).
     pub tags: Vec<Tag>,
+    /// What it says of the path it took; none where it says nothing that is known.
+    pub note: Option<PathNote>,
     /// The bytes.
     pub body: Bytes,
 }
@@ -150,10 +153,15 @@
         if length > BODY_MOST {
             return Err(WireError::TooLarge("an answer's body"));
         }
-        let (mut tag, mut born, mut tags) = (None, None, Vec::new());
+        let (mut tag, mut born, mut tags, mut note) = (None, None, Vec::new(), None);
         for field in fields.split(',').filter(|f| *f != "-") {
+            // A note only helps to place blame: one that can't be read, even without a value, costs no answer.
+            if field == "note" {
+                continue;
+            }
             let (name, value) = field.split_once('=').ok_or(WireError::Malformed("a field"))?;
             match name {
+                "note" => note = PathNote::from_word(value),
                 "sum" => tag = Some(value.to_string()),
                 "t0" => born = Some(value.parse().map_err(|_| WireError::Malformed("t0"))?),
                 "tags" => {
@@ -168,7 +176,7 @@
         if word != Word::Ack && length > 0 {
             return Err(WireError::Malformed("a body where none belongs"));
         }
-        Ok(Some((Reply { id, word, tag, born, tags, body: Bytes::new() }, length)))
+        Ok(Some((Reply { id, word, tag, born, tags, note, body: Bytes::new() }, length)))
     }
 }
 
--- a/src/wire/lines/tests.rs
+++ b/src/wire/lines/tests.rs
@@ -71,6 +71,36 @@
     assert_eq!((got[0].word, &got[0].body[..], &got[0].tag), (Word::Ack, &b"ok"[..], &None));
 }
 
+#[test]
+fn an_answers_note_is_read() {
+    let text = b"000000000000000a ACK sum=1,t0=5,note=COLLAPSED,slow=31 1\r\nx\r\n\
+                 000000000000000b EIO note=ORIGIN_ERR,slow=140 0\r\n\r\n\
+                 000000000000000c NOENT note=UP_MISS 0\r\n\r\n\
+                 000000000000000d AGAIN - 0\r\n\r\n";
+    let got = all(&mut LineCodec::default(), text).unwrap();
+    assert_eq!(
+        got.iter().map(|reply| (reply.word, reply.note)).collect::<Vec<_>>(),
+        [
+            (Word::Ack, Some(PathNote::Collapsed)),
+            (Word::Eio, Some(PathNote::OriginError)),
+            (Word::Noent, Some(PathNote::SourceMiss)),
+            (Word::Again, None),
+        ]
+    );
+}
+
+/// Guards a good answer against its note: the bytes do not depend on it.
+#[test]
+fn an_unknown_or_garbled_note_spoils_no_answer() {
+    for note in ["note=", "note", "note=hit", "note=HIT=MISS", "note=7", "note=\u{e9}"] {
+        let text = format!("000000000000000a ACK sum=4be0,{note},t0=5 2\r\nok\r\n");
+        let got = all(&mut LineCodec::default(), text.as_bytes()).unwrap();
+        let [reply] = &got[..] else { panic!("{note}: {got:?}") };
+        assert_eq!((reply.word, reply.note, &reply.body[..]), (Word::Ack, None, &b"ok"[..]), "{note}");
+        assert_eq!((reply.tag.as_deref(), reply.born), (Some("4be0"), Some(5.0)), "{note}");
+    }
+}
+
 #[test]
 fn requests_are_written_with_the_fields_that_they_have() {
     let mut out = BytesMut::new();
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -10,6 +10,7 @@
 pub mod lines;
 pub mod link;
 pub mod manage;
+pub mod path_note;
 pub mod platform;
 pub mod signed;
 
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -9,6 +9,7 @@
 use calicobeam::settings::Env;
 use calicobeam::wire::frames::{News, Numbered};
 use calicobeam::wire::lines::{Command, Get, Reply, Word};
+use calicobeam::wire::path_note::PathNote;
 use members::{target, PARENT};
 use std::rc::Rc;
 
@@ -100,8 +101,69 @@
     }
 
     fn reply(&mut self, conn: ConnId, id: u64, word: Word) {
+        self.reply_noted(conn, id, word, None);
+    }
+
+    fn reply_noted(&mut self, conn: ConnId, id: u64, word: Word, note: Option<PathNote>) {
         let (tag, body) = (Some("t".to_string()), "bytes".into());
-        self.engine.answered(conn, Reply { id, word, tag, born: None, tags: Vec::new(), body });
+        self.engine.answered(conn, Reply { id, word, tag, born: None, tags: Vec::new(), note, body });
+    }
+
+    /// Connects all that is opened, and answers each attempt that is written: with an error and this note where it
+    /// names the source `failing`, else with the bytes.
+    fn answer_all(&mut self, failing: Option<u32>, note: Option<PathNote>) {
+        loop {
+            let conns: Vec<ConnId> = self.effects().iter().filter_map(driven).collect();
+            if conns.is_empty() {
+                return;
+            }
+            for conn in conns {
+                self.engine.connected(conn);
+                while let Some(get) = self.get(conn) {
+                    let id = u64::from_str_radix(&get.id, 16).unwrap();
+                    if get.source == failing {
+                        self.reply_noted(conn, id, Word::Eio, note);
+                    } else {
+                        self.reply(conn, id, Word::Ack);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The source that the first attempt of a new request names.
+    fn first_source(&mut self, id: u64) -> Option<u32> {
+        self.ask_for(id, 42);
+        let conns: Vec<ConnId> = self.effects().iter().filter_map(driven).collect();
+        conns.iter().for_each(|conn| self.engine.connected(*conn));
+        let written = conns.iter().find_map(|conn| self.get(*conn));
+        written.expect("an attempt is written").source
+    }
+}
+
+/// The connection that an effect opens or wakes.
+fn driven(effect: &Effect) -> Option<ConnId> {
+    match effect {
+        Effect::Open { conn, .. } | Effect::Wake(conn) => Some(*conn),
+        Effect::Answer(..) => None,
+    }
+}
+
+/// Guards parents against blame for what the origin did: errors whose notes say that the origin failed behind the
+/// parent leave the object's parent in use, and the same errors without a note, or blaming the source, do not.
+#[test]
+fn errors_of_the_origin_leave_the_parent_in_use() {
+    let notes = [(Some(PathNote::OriginError), true), (None, false), (Some(PathNote::SourceDown), false)];
+    for (note, stays) in notes {
+        let mut b = Bench::new(&[1, 2, 7, PARENT, 9]);
+        let home = b.first_source(1);
+        b.engine.left(1);
+        for id in 2..=30 {
+            b.ask_for(id, 42);
+            b.answer_all(home, note);
+            b.pass(50.0);
+        }
+        assert_eq!(b.first_source(31) == home, stays, "{note:?}");
     }
 }
 
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -152,8 +152,10 @@
         let word = words[usize::from(b / 8) % words.len()];
         let body = format!("{conn}:{id}").into();
         let before = self.engine.owed();
-        self.engine
-            .answered(conn, Reply { id, word, tag: Some("t".into()), born: None, tags: Vec::new(), body });
+        self.engine.answered(
+            conn,
+            Reply { id, word, tag: Some("t".into()), born: None, tags: Vec::new(), note: None, body },
+        );
         assert!(!late || self.engine.owed() == before, "a late answer ended a request");
     }
 
