Engine: intake, membership, attempts, upstream, answers and figures each in a file

engine/mod.rs held 805 lines of all concerns. Now it holds the type, its construction, the settings, the clock's turn and the dispatch of events and actions; each concern has a file beside it, and Effect and Next theirs. No function's body moved more than its place: the sorted lines of the files before and after differ by imports, module heads, `pub(super)` and a few doc comments alone. No public path changed, and no test.

--- /dev/null
+++ b/src/engine/answers.rs
@@ -0,0 +1,99 @@
+//! Answers: what a member's answer means for its attempt, and the one final answer of a request.
+
+use super::{Effect, Engine};
+use crate::memory::connections::ConnId;
+use crate::memory::requests::{Ask, Final};
+use crate::wire::lines::{Reply, Word};
+use crate::{RequestId, Verdict};
+
+/// With less than this left of its time, in milliseconds, a request that ends has ended for want of it: the module
+/// sends nothing with so little left.
+const OVER_MS: f64 = 50.0;
+
+impl Engine {
+    /// A member answered.
+    pub fn answered(&mut self, conn: ConnId, reply: Reply) {
+        let now = self.clock.now();
+        let Some(c) = self.connections.get_mut(conn) else { return };
+        (c.read_ms, c.used_ms, c.unheard) = (now, now, 0);
+        let Some(id) = c.out.remove(&reply.id) else {
+            // An answer that crossed a DROP, a second one, or one to nothing that was asked here: no client gets it.
+            self.counters.member_late += 1;
+            return;
+        };
+        // Guards a later attempt of the same request, which has the same id: the answer may come a second time.
+        c.close_to(id.0);
+        let (verdict, counter) = match reply.word {
+            Word::Ack | Word::Nomod => (Verdict::Served, &mut self.counters.member_ok),
+            Word::Noent => (Verdict::Miss, &mut self.counters.member_miss),
+            Word::Again => (Verdict::Refused, &mut self.counters.member_full),
+            Word::Eio => (Verdict::Error, &mut self.counters.member_error),
+            Word::Stale => (Verdict::NeverSent, &mut self.counters.member_miss),
+        };
+        *counter += 1;
+        if verdict == Verdict::Served && self.purged(id.0, &reply) {
+            // Guards the rule on purges: a copy that a purge removed reaches no client; the module tries again.
+            self.settle(id, Verdict::Spoilt);
+            self.run();
+            return self.effects.push_back(Effect::Wake(conn));
+        }
+        if verdict == Verdict::Served {
+            let tag = reply.tag;
+            // A member says that the client's copy holds only where the request named that very copy.
+            let same = reply.word == Word::Nomod;
+            let named = |ask: &Ask| ask.cached.is_some() && (tag.is_none() || tag == ask.cached);
+            if same && self.requests.get(id.0).is_some_and(|ask| !named(ask)) {
+                self.settle(id, Verdict::Spoilt);
+                self.run();
+                return self.effects.push_back(Effect::Wake(conn));
+            }
+            let answer = if same {
+                Final::Same { tag: tag.unwrap_or_default() }
+            } else {
+                Final::Served { tag, body: reply.body }
+            };
+            self.finish(id.0, answer);
+        }
+        self.settle_noted(id, verdict, reply.note.into());
+        self.run();
+        self.effects.push_back(Effect::Wake(conn));
+    }
+
+    /// Whether a read's answer carries a copy that a fleet purge removed.
+    fn purged(&mut self, id: RequestId, reply: &Reply) -> bool {
+        let (Some(guard), Some(ask)) = (&mut self.purge, self.requests.get(id)) else { return false };
+        let Some(class) = self.env.class_name(ask.class).filter(|_| !self.env.is_write(ask.class)) else {
+            return false;
+        };
+        let removed = guard.removes(class, ask.object, ask.part, ask.group, reply.born, &reply.tags);
+        if let Some(mark) = removed {
+            tracing::debug!(
+                id = ask.id_text,
+                seq = mark.seq,
+                "an answer's copy was purged; it is not passed on"
+            );
+        }
+        removed.is_some()
+    }
+
+    /// Gives a request its final answer, if it is still owed one.
+    pub(super) fn finish(&mut self, id: RequestId, answer: Final) {
+        if let Some(ask) = self.requests.end(id) {
+            let tally = self.tallies.of(self.env.class_name(ask.class).unwrap_or_default());
+            let (counter, figure) = match &answer {
+                Final::Served { .. } => (&mut self.counters.served, &mut tally.ok),
+                Final::Same { .. } => (&mut self.counters.unchanged, &mut tally.ok),
+                Final::Refused { .. } => (&mut self.counters.refused, &mut tally.shed),
+                Final::Failed { .. } => (&mut self.counters.failed, &mut tally.errors),
+            };
+            *counter += 1;
+            *figure += 1;
+            self.effects.push_back(Effect::Answer(id, answer));
+        }
+    }
+
+    /// Whether a request ends for want of time: less is left than any attempt could use.
+    pub(super) fn is_overdue(&self, now: f64, id: RequestId) -> bool {
+        self.requests.get(id).is_some_and(|ask| now + OVER_MS >= ask.give_up_ms)
+    }
+}
--- /dev/null
+++ b/src/engine/effects.rs
@@ -0,0 +1,36 @@
+//! What an engine wants done on sockets.
+
+use crate::memory::connections::ConnId;
+use crate::memory::requests::Final;
+use crate::wire::lines::Command;
+use crate::RequestId;
+use std::net::SocketAddrV4;
+
+/// What the host is to do on sockets.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Open a connection and report that it came up or not.
+    Open {
+        /// Its number.
+        conn: ConnId,
+        /// Where to.
+        address: SocketAddrV4,
+        /// How long it may take, in milliseconds.
+        within_ms: f64,
+    },
+    /// There is something to ask [`Engine::next_write`] for.
+    Wake(ConnId),
+    /// Give a client its final answer.
+    Answer(RequestId, Final),
+}
+
+/// What a connection's driver writes next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Next {
+    /// This, beginning now.
+    Write(Command),
+    /// Nothing for now.
+    Idle,
+    /// Nothing any more: the connection is to be closed.
+    Close,
+}
--- /dev/null
+++ b/src/engine/figures.rs
@@ -0,0 +1,41 @@
+//! The figures that the platform reads.
+
+use super::Engine;
+use crate::clock::micros;
+use crate::wire::frames::Target;
+use crate::MemberId;
+
+impl Engine {
+    /// The figures that the platform reads.
+    pub fn figures(&mut self) -> String {
+        for name in (0..).map_while(|k| self.env.class_name(k)) {
+            self.tallies.of(name);
+        }
+        let pool: Vec<MemberId> =
+            self.roster.all_listed().filter(|t| self.env.is_cache(&t.row)).map(|t| t.row.cache).collect();
+        let out = pool.iter().filter(|id| self.maintenance.is_out(**id)).count();
+        let avoided = out + self.router.avoided(micros(self.clock.now()));
+        let figures = [
+            ("active", self.requests.len() as u64),
+            ("pool_size", pool.len() as u64),
+            ("pool_ejected", avoided as u64),
+            ("config_applied_total", self.counters.reloads),
+            ("config_rejected_total", self.counters.reload_faults),
+        ];
+        let lines = figures.map(|(name, figure)| format!("app_{name} {figure}\n"));
+        self.tallies.lines() + &lines.concat()
+    }
+
+    /// The share of this location's caches that take new work and that the module does not leave for their failures;
+    /// none where it has none.
+    pub fn pool_share(&self) -> Option<f64> {
+        let mine = |t: &&Target| {
+            self.env.listing(&t.row).is_ok_and(|line| line.role == crate::Role::Cache)
+                && t.row.lifecycle != "dead"
+        };
+        let mine: Vec<&Target> = self.roster.all_listed().filter(mine).collect();
+        let able = mine.iter().filter(|t| self.roster.address(t.row.cache).is_some()).count();
+        let avoided = self.router.avoided(micros(self.clock.now()));
+        (!mine.is_empty()).then(|| able.saturating_sub(avoided) as f64 / mine.len() as f64)
+    }
+}
--- /dev/null
+++ b/src/engine/intake.rs
@@ -0,0 +1,43 @@
+//! Requests of clients: taking them in, and letting go of those whose client has left.
+
+use super::Engine;
+use crate::clock::micros;
+use crate::memory::requests::{Ask, NotTaken};
+use crate::{Event, RequestId};
+
+impl Engine {
+    /// Takes a request in. From now on it gets exactly one [`Effect::Answer`], unless its client leaves.
+    pub fn request(&mut self, ask: Ask) -> Result<(), NotTaken> {
+        let event = Event::Request {
+            id: ask.id,
+            class: ask.class,
+            object: ask.object,
+            group: ask.group,
+            part: ask.part,
+            size_kb: ask.size_kb,
+            give_up_at: micros(ask.give_up_ms),
+        };
+        let class = ask.class;
+        if let Err(why) = self.requests.take(ask) {
+            let tally = self.tallies.of(self.env.class_name(class).unwrap_or_default());
+            match why {
+                NotTaken::Duplicate => tally.errors += 1,
+                NotTaken::Full => tally.shed += 1,
+            }
+            return Err(why);
+        }
+        self.counters.requests += 1;
+        self.events.push_back(event);
+        self.run();
+        Ok(())
+    }
+
+    /// A client left: nothing is owed to it, and its attempts are called off.
+    pub fn left(&mut self, id: RequestId) {
+        if self.requests.end(id).is_some() {
+            self.counters.left += 1;
+            self.events.push_back(Event::Left { id });
+            self.run();
+        }
+    }
+}
--- /dev/null
+++ b/src/engine/membership.rs
@@ -0,0 +1,157 @@
+//! The list of members, from the bulletin or a registry, with what operators say of members by hand.
+
+use super::{Effect, Engine};
+use crate::clock::micros;
+use crate::memory::maintenance::{Maintenance, Mark};
+use crate::memory::requests::Ask;
+use crate::purge::fanout::Standing;
+use crate::wire::frames::{News, Numbered, Target};
+use crate::wire::lines::member_text;
+use crate::{Event, MemberId, Verdict};
+use std::net::{SocketAddr, SocketAddrV4};
+
+impl Engine {
+    /// From now on the list of members is a registry's: the bulletin brings purges alone.
+    pub fn take_roster_from_registry(&mut self) {
+        self.registry = true;
+    }
+
+    /// Takes a list of members, or changes of it, from a registry: the same rules as the bulletin's lists, at once.
+    pub fn hear_roster(&mut self, full: bool, targets: Vec<Target>) {
+        self.roster.hear(full, &targets);
+        self.list(full, targets);
+    }
+
+    /// Takes the members that can be read in an event of the bulletin that can't be read whole. Its number stays open.
+    pub fn hear_part(&mut self, targets: Vec<Target>) {
+        if !self.registry && !targets.is_empty() {
+            self.hear_roster(false, targets);
+        }
+    }
+
+    /// How often the list of members has changed.
+    pub fn roster_changes(&self) -> u64 {
+        self.roster_changes
+    }
+
+    /// The listed members of a kind: id, address, and whether they take new work.
+    pub fn of_kind<'e>(
+        &'e self,
+        model: &'e str,
+    ) -> impl Iterator<Item = (MemberId, SocketAddrV4, bool)> + 'e {
+        let listed = self.roster.all_listed().filter(move |t| t.row.model == model);
+        listed.map(|t| (t.row.cache, t.address, self.roster.address(t.row.cache).is_some()))
+    }
+
+    /// Number of the bulletin's last event that was taken.
+    pub fn last_no(&self) -> u64 {
+        self.last_no
+    }
+
+    /// Counts all events up to this number as taken.
+    pub fn skip_to(&mut self, no: u64) {
+        self.last_no = self.last_no.max(no);
+    }
+
+    /// Takes an event of the bulletin. One that was taken before is skipped.
+    pub fn news(&mut self, item: Numbered) {
+        if matches!(item.news, News::Quiet) || item.no <= self.last_no {
+            return;
+        }
+        self.last_no = item.no;
+        self.counters.bulletin_events += 1;
+        match item.news {
+            News::Quiet => {}
+            News::Roster { .. } if self.registry => {}
+            News::Roster { full, targets } => {
+                self.roster.hear(full, &targets);
+                self.list(full, targets);
+            }
+            News::Purge { object, group, issued } => {
+                let ago = micros(self.clock.now() - issued);
+                self.events.push_back(Event::Purged { object, group, ago });
+                self.run();
+                // Guards the rule on purges: what waits for a connection was bounded before this purge.
+                let hit = |ask: &Ask| object.map_or(ask.group == group, |o| ask.object == o);
+                self.stale(|ask, _| hit(ask));
+            }
+        }
+        self.run();
+    }
+
+    /// Takes a list, or changes of it, as maintenance by hand leaves it.
+    pub(super) fn list(&mut self, full: bool, mut targets: Vec<Target>) {
+        targets.iter_mut().for_each(|target| self.maintenance.apply(&mut target.row));
+        let entries: Result<Vec<_>, _> = targets.iter().map(|t| self.env.listing(&t.row)).collect();
+        // The codec makes only states that the settings type knows.
+        let Ok(entries) = entries else { return };
+        let gone = self.roster.update(full, &targets);
+        self.roster_changes += 1;
+        // The module learns of it first: asked anew before, it would name the same member again.
+        self.events.push_back(Event::Members { full, entries });
+        self.run();
+        gone.into_iter().for_each(|member| self.retire(member));
+        self.run();
+    }
+
+    /// A member drains, is gone or has moved: nothing new goes there, whatever waits for it is asked of the
+    /// module again, and its connections end once they have nothing out. Its address may be another's soon.
+    fn retire(&mut self, member: MemberId) {
+        for (conn, c) in self.connections.iter_mut().filter(|(_, c)| c.member == member) {
+            c.closing = true;
+            self.effects.push_back(Effect::Wake(*conn));
+        }
+        self.stale(|_, attempt| attempt.to == member || attempt.source == Some(member));
+    }
+
+    /// Takes a member out of use by hand, or puts it back; false where nobody has that id.
+    pub fn maintain(&mut self, id: MemberId, out: bool) -> bool {
+        if self.roster.listed(id).is_none() && !self.maintenance.is_out(id) {
+            return false;
+        }
+        self.adopt([(id, Mark { out, at_ms: self.clock.now() })]);
+        true
+    }
+
+    /// Takes words on members that another process of this proxy may have been given.
+    pub fn adopt(&mut self, marks: impl IntoIterator<Item = (MemberId, Mark)>) {
+        for (id, mark) in marks {
+            if self.maintenance.mark(id, mark) {
+                self.counters.maintenance += 1;
+                self.roster.listed(id).cloned().into_iter().for_each(|target| self.list(false, vec![target]));
+            }
+        }
+    }
+
+    /// What operators said of members.
+    pub fn maintenance(&self) -> &Maintenance {
+        &self.maintenance
+    }
+
+    /// The caches and parents of the roster as targets of fleet purges, by name, at their own address with
+    /// `port`: the origin holds no copies, and a member that is gone is none.
+    pub fn purge_targets(&self, port: u16) -> Vec<(String, SocketAddr, Standing)> {
+        let listed = self.roster.all_listed().filter(|t| t.row.lifecycle != "dead");
+        let targets = listed.filter_map(|t| {
+            let origin = self.env.listing(&t.row).ok()?.role == crate::Role::Origin;
+            let standing = if t.row.lifecycle == "live" { Standing::Listed } else { Standing::Draining };
+            let address = SocketAddr::new((*t.address.ip()).into(), port);
+            (!origin).then(|| (member_text(t.row.cache), address, standing))
+        });
+        let mut targets: Vec<_> = targets.collect();
+        targets.sort_by(|a, b| a.0.cmp(&b.0));
+        targets
+    }
+
+    /// From now on members are probed as shared duties, and what the module would probe is left to those.
+    pub fn share_probes(&mut self) {
+        self.probed = true;
+    }
+
+    /// Probes found a member down, or up again: the module is told, and decides what follows.
+    pub fn probed(&mut self, member: MemberId, up: bool) {
+        let verdict = if up { Verdict::Served } else { Verdict::NoConnection };
+        self.events.push_back(Event::Probed { member, verdict });
+        self.run();
+    }
+}
