The engine's host is given the driver of its members' connections: no import circle

engine/host.rs called wire::cache::drive, and wire/cache.rs drives the engine by the host: a circle. Now the host knows a trait, ConnectionDriver, with one Dial (number, address, time, waker) for each connection that the engine wants, and lifecycle/serve hands it wire::cache::CacheDriver, as the tests and the example that build a host do. The driver still runs inside the host's own task, so a panic in it ends its connection for the engine as before.

--- a/examples/registry_drains.rs
+++ b/examples/registry_drains.rs
@@ -16,6 +16,7 @@
 use calicobeam::lifecycle::config::Config;
 use calicobeam::registry::config::RegistryConfig;
 use calicobeam::registry::driver::{keep, Link};
+use calicobeam::wire::cache::CacheDriver;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use registry::Registry;
@@ -205,7 +206,7 @@
     for n in 0..proxies {
         let clock = Clock::system();
         let (engine, _) = calicobeam::lifecycle::serve::engine(&config, &clock, 0).unwrap();
-        let host = Host::new(clock, engine);
+        let host = Host::new(clock, engine, CacheDriver);
         host.with(|engine| engine.take_roster_from_registry());
         let link = Rc::new(RefCell::new(Link::default()));
         links.push(link.clone());
--- a/src/engine/host.rs
+++ b/src/engine/host.rs
@@ -1,4 +1,5 @@
-//! Carries out the engine's effects on sockets: one thread, one engine, a task for each connection.
+//! Carries out the engine's effects on sockets: one thread, one engine, a task for each connection. It knows no
+//! protocol: what speaks to members is a [`ConnectionDriver`] that it is given.
 
 use super::{Effect, Engine};
 use crate::admission::fair::Verdict;
@@ -8,20 +9,41 @@
 use crate::memory::connections::ConnId;
 use crate::memory::requests::{Ask, Final, NotTaken};
 use crate::settings::Env;
-use crate::wire::cache;
 use crate::{MemberId, RequestId};
+use futures_util::future::LocalBoxFuture;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 
+/// A connection to a member that the engine wants opened.
+pub struct Dial {
+    /// Its number.
+    pub conn: ConnId,
+    /// Where to.
+    pub address: SocketAddrV4,
+    /// How long it may take to come up, in milliseconds.
+    pub within_ms: f64,
+    /// Notified when there may be something to ask [`Engine::next_write`] for.
+    pub waker: Rc<Notify>,
+}
+
+/// Speaks to members: opens a connection, writes what the engine has and hands it what comes.
+pub trait ConnectionDriver {
+    /// Serves one connection until either side ends it, and reports to the host's engine how it came up
+    /// ([`Engine::connected`] or [`Engine::connect_failed`]) and how it ended ([`Engine::broken`] or
+    /// [`Engine::spoilt`]).
+    fn drive(&self, host: Rc<Host>, dial: Dial) -> LocalBoxFuture<'static, ()>;
+}
+
 /// An engine with what its tasks share.
 pub struct Host {
     /// The clock of all.
     pub clock: Clock,
     engine: RefCell<Engine>,
+    driver: Box<dyn ConnectionDriver>,
     wakers: RefCell<HashMap<ConnId, Rc<Notify>>>,
     waiting: RefCell<HashMap<RequestId, oneshot::Sender<Final>>>,
     due: Notify,
@@ -34,11 +56,12 @@
 pub type Figures = Box<dyn Fn() -> String>;
 
 impl Host {
-    /// A host for an engine. It runs on a `LocalSet`.
-    pub fn new(clock: Clock, engine: Engine) -> Rc<Self> {
+    /// A host for an engine, whose connections `driver` serves. It runs on a `LocalSet`.
+    pub fn new(clock: Clock, engine: Engine, driver: impl ConnectionDriver + 'static) -> Rc<Self> {
         Rc::new(Self {
             clock,
             engine: RefCell::new(engine),
+            driver: Box::new(driver),
             wakers: RefCell::default(),
             waiting: RefCell::default(),
             due: Notify::new(),
@@ -117,11 +140,12 @@
                 Some(Effect::Open { conn, address, within_ms }) => {
                     let waker = Rc::new(Notify::new());
                     self.wakers.borrow_mut().insert(conn, waker.clone());
+                    let dial = Dial { conn, address, within_ms, waker };
                     let host = self.clone();
                     self.spawn("a member's connection", async move {
                         // Guards against a panic in the driver leaving its attempts out for ever.
                         let _end = Gone { host: host.clone(), conn };
-                        cache::drive(&host, conn, address, within_ms, &waker).await;
+                        host.driver.drive(host.clone(), dial).await;
                     });
                 }
                 Some(Effect::Wake(conn)) => {
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -28,6 +28,7 @@
 use crate::vrrp::driver::{self as vrrp, host_value};
 use crate::vrrp::track::{Rate, What};
 use crate::wire::bulletin;
+use crate::wire::cache::CacheDriver;
 use crate::wire::client::{accept, Front, Limits, Stop};
 use crate::wire::manage::Manage;
 use crate::wire::platform::{self, Platform};
@@ -127,7 +128,7 @@
     let bulletin = config.bulletin().map_err(|why| ServeError::Field("bulletin", why))?;
     let (bulletin, moves) = watch::channel(bulletin);
     let seed = config.seed().map_err(|why| ServeError::Field("seed", why))?;
-    let host = Host::new(clock, engine);
+    let host = Host::new(clock, engine, CacheDriver);
     if let Some(door) = door.clone() {
         host.set_gate(Gate::new(door, "door"));
     }
--- a/src/wire/cache.rs
+++ b/src/wire/cache.rs
@@ -3,13 +3,13 @@
 use super::lines::{hex16, Command, LineCodec};
 use super::WireError;
 use crate::clock::span;
-use crate::engine::host::Host;
+use crate::engine::host::{ConnectionDriver, Dial, Host};
 use crate::engine::Next;
 use crate::memory::connections::ConnId;
 use bytes::BytesMut;
+use futures_util::future::LocalBoxFuture;
 use futures_util::StreamExt;
 use std::io::ErrorKind;
-use std::net::SocketAddrV4;
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -28,9 +28,20 @@
 /// its middle between two looks will not go on, and neither will those that wait behind it.
 const STALL_LOOK_MS: f64 = 200.0;
 
+/// Speaks the pop caches' protocol to members.
+#[derive(Clone, Copy, Debug)]
+pub struct CacheDriver;
+
+impl ConnectionDriver for CacheDriver {
+    fn drive(&self, host: Rc<Host>, dial: Dial) -> LocalBoxFuture<'static, ()> {
+        Box::pin(async move { drive(&host, dial).await })
+    }
+}
+
 /// Connects, writes what the engine has and hands it what comes, until either side ends.
-pub async fn drive(host: &Rc<Host>, conn: ConnId, to: SocketAddrV4, within_ms: f64, waker: &Notify) {
-    let stream = match timeout(span(within_ms), TcpStream::connect(to)).await {
+async fn drive(host: &Rc<Host>, dial: Dial) {
+    let Dial { conn, address, within_ms, waker } = dial;
+    let stream = match timeout(span(within_ms), TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return host.with(|engine| engine.connect_failed(conn, is_local(&error))),
         Err(_) => return host.with(|engine| engine.connect_failed(conn, false)),
@@ -43,7 +54,7 @@
     let end = tokio::select! {
         biased;
         end = &mut reading => end,
-        end = write(host, conn, sink, waker) => match end {
+        end = write(host, conn, sink, &waker) => match end {
             Ok(()) => Ok(()),
             // Guards answers that came whole before the connection broke: what they answer has not been lost.
             Err(broken) => match timeout(span(LAST_READ_MS), &mut reading).await {
@@ -60,7 +71,7 @@
             });
             // Guards the log against members that spoil all they send: each doubling is told.
             if told.is_power_of_two() {
-                tracing::warn!(member = %to, %error, told, "a member's connection failed");
+                tracing::warn!(member = %address, %error, told, "a member's connection failed");
             }
             host.with(|engine| engine.spoilt(conn));
         }
--- a/tests/grpc.rs
+++ b/tests/grpc.rs
@@ -9,6 +9,7 @@
 use calicobeam::grpc::server::{accept, cut_at_stop, keep, GrpcFront};
 use calicobeam::lifecycle::config::Config;
 use calicobeam::lifecycle::serve::engine;
+use calicobeam::wire::cache::CacheDriver;
 use calicobeam::wire::client::Stop;
 use stand_ins::grpc::{finish, msg, Caller, GrpcBox};
 use stand_ins::{folder, run, START_MS};
@@ -56,7 +57,7 @@
     let config =
         Config::read(Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json"))).unwrap();
     let (engine, _) = engine(&config, &clock, 0).unwrap();
-    Host::new(clock, engine)
+    Host::new(clock, engine, CacheDriver)
 }
 
 impl Edge {
--- a/tests/poor_links.rs
+++ b/tests/poor_links.rs
@@ -11,6 +11,7 @@
 use calicobeam::poor::front::PoorFront;
 use calicobeam::poor::h3::{self, Driver};
 use calicobeam::poor::keeper::Keeper;
+use calicobeam::wire::cache::CacheDriver;
 use calicobeam::wire::client::{accept, Front, Limits, Stop};
 use calicobeam::wire::platform::{self, Platform};
 use stand_ins::device::{certify, Device, Impaired};
@@ -62,7 +63,7 @@
         let node = Config::read(&dir.join("config.json")).unwrap();
         let clock = Clock::system();
         let (engine, _) = engine(&node, &clock, 0).unwrap();
-        let host = Host::new(clock, engine);
+        let host = Host::new(clock, engine, CacheDriver);
         spawn_local(host.clone().keep_time());
         let file = poor_file(&dir, format!("127.0.{net}.9:1").parse().unwrap(), more);
         let config = PoorConfig::read(&file).unwrap();
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -9,6 +9,7 @@
 use calicobeam::lifecycle::serve::engine;
 use calicobeam::settings::Env;
 use calicobeam::wire::bulletin;
+use calicobeam::wire::cache::CacheDriver;
 use calicobeam::wire::client::{accept, Front, Stop};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -319,7 +320,7 @@
         let config = Config::read(&path).unwrap();
         let clock = Clock::manual(START_MS);
         let (engine, env) = engine(&config, &clock, 0).unwrap();
-        let host = Host::new(clock.clone(), engine);
+        let host = Host::new(clock.clone(), engine, CacheDriver);
         spawn_local(host.clone().keep_time());
         let (moves, told) = watch::channel(config.bulletin().unwrap());
         spawn_local(bulletin::keep(host.clone(), told));
