Rename: engine/host is engine/executor, and Host is Executor

The name of the field for what carries out effects; nothing else is changed. Variables and fields called `host` are renamed in engine/executor.rs and wire/cache.rs alone; those of the fronts and services that hold an executor still bear the old name.

--- a/examples/registry_drains.rs
+++ b/examples/registry_drains.rs
@@ -12,7 +12,7 @@
 mod slow_box;
 
 use calicobeam::clock::Clock;
-use calicobeam::engine::host::Host;
+use calicobeam::engine::executor::Executor;
 use calicobeam::lifecycle::config::Config;
 use calicobeam::registry::config::RegistryConfig;
 use calicobeam::registry::driver::{keep, Link};
@@ -206,7 +206,7 @@
     for n in 0..proxies {
         let clock = Clock::system();
         let (engine, _) = calicobeam::lifecycle::serve::engine(&config, &clock, 0).unwrap();
-        let host = Host::new(clock, engine, CacheDriver);
+        let host = Executor::new(clock, engine, CacheDriver);
         host.with(|engine| engine.take_roster_from_registry());
         let link = Rc::new(RefCell::new(Link::default()));
         links.push(link.clone());
--- a/src/duties/driver.rs
+++ b/src/duties/driver.rs
@@ -6,7 +6,7 @@
 use super::plan::{Act, Message, Plan, PlanFigures};
 use super::slots::{DutyId, InstanceId, Slot};
 use crate::clock::span;
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use crate::vrrp::auth::Seals;
 use crate::wire::http::{HttpAnswer, HttpRequest};
 use crate::wire::lines::member_text;
@@ -31,7 +31,7 @@
 
 /// Shared duties, as their task and the second address share them.
 pub struct Duties {
-    host: Rc<Host>,
+    host: Rc<Executor>,
     config: DutiesConfig,
     socket: UdpSocket,
     plan: RefCell<Plan>,
@@ -44,7 +44,7 @@
 
 impl Duties {
     /// Shared duties of an operator file, over a socket that is bound where it says.
-    pub fn new(host: Rc<Host>, config: DutiesConfig, socket: UdpSocket) -> Result<Rc<Self>, String> {
+    pub fn new(host: Rc<Executor>, config: DutiesConfig, socket: UdpSocket) -> Result<Rc<Self>, String> {
         let seals = config.keys()?.map(|keys| Seals::labelled(keys, config.clock_skew_ms, LABEL));
         let others = config.others().into_iter().map(|(id, _)| id);
         let plan = Plan::new(host.clock.now(), config.id, others, config.times());
--- a/src/engine/effects.rs
+++ b/src/engine/effects.rs
@@ -6,7 +6,7 @@
 use crate::RequestId;
 use std::net::SocketAddrV4;
 
-/// What the host is to do on sockets.
+/// What the executor is to do on sockets.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
     /// Open a connection and report that it came up or not.
--- a/src/engine/host.rs
+++ b/src/engine/executor.rs
@@ -32,14 +32,14 @@
 
 /// Speaks to members: opens a connection, writes what the engine has and hands it what comes.
 pub trait ConnectionDriver {
-    /// Serves one connection until either side ends it, and reports to the host's engine how it came up
+    /// Serves one connection until either side ends it, and reports to the executor's engine how it came up
     /// ([`Engine::connected`] or [`Engine::connect_failed`]) and how it ended ([`Engine::broken`] or
     /// [`Engine::spoilt`]).
-    fn drive(&self, host: Rc<Host>, dial: Dial) -> LocalBoxFuture<'static, ()>;
+    fn drive(&self, executor: Rc<Executor>, dial: Dial) -> LocalBoxFuture<'static, ()>;
 }
 
 /// An engine with what its tasks share.
-pub struct Host {
+pub struct Executor {
     /// The clock of all.
     pub clock: Clock,
     engine: RefCell<Engine>,
@@ -55,8 +55,8 @@
 /// A subsystem's figures, in the Prometheus text format.
 pub type Figures = Box<dyn Fn() -> String>;
 
-impl Host {
-    /// A host for an engine, whose connections `driver` serves. It runs on a `LocalSet`.
+impl Executor {
+    /// An executor for an engine, whose connections `driver` serves. It runs on a `LocalSet`.
     pub fn new(clock: Clock, engine: Engine, driver: impl ConnectionDriver + 'static) -> Rc<Self> {
         Rc::new(Self {
             clock,
@@ -141,11 +141,11 @@
                     let waker = Rc::new(Notify::new());
                     self.wakers.borrow_mut().insert(conn, waker.clone());
                     let dial = Dial { conn, address, within_ms, waker };
-                    let host = self.clone();
+                    let executor = self.clone();
                     self.spawn("a member's connection", async move {
                         // Guards against a panic in the driver leaving its attempts out for ever.
-                        let _end = Gone { host: host.clone(), conn };
-                        host.driver.drive(host.clone(), dial).await;
+                        let _end = Gone { executor: executor.clone(), conn };
+                        executor.driver.drive(executor.clone(), dial).await;
                     });
                 }
                 Some(Effect::Wake(conn)) => {
@@ -243,11 +243,11 @@
     /// Runs a task beside the others. A panic in it is counted and ends nothing else.
     pub fn spawn(self: &Rc<Self>, what: &'static str, task: impl Future<Output = ()> + 'static) {
         let task = tokio::task::spawn_local(task);
-        let host = self.clone();
+        let executor = self.clone();
         tokio::task::spawn_local(async move {
             if let Err(error) = task.await {
                 if error.is_panic() {
-                    host.engine.borrow_mut().counters.panics += 1;
+                    executor.engine.borrow_mut().counters.panics += 1;
                     tracing::error!(what, "a task ended in a panic");
                 }
             }
@@ -273,15 +273,15 @@
 
 /// Ends a connection for the engine when its driver is gone, however that came.
 struct Gone {
-    host: Rc<Host>,
+    executor: Rc<Executor>,
     conn: ConnId,
 }
 
 impl Drop for Gone {
     fn drop(&mut self) {
-        self.host.wakers.borrow_mut().remove(&self.conn);
+        self.executor.wakers.borrow_mut().remove(&self.conn);
         if std::thread::panicking() {
-            self.host.with(|engine| engine.broken(self.conn));
+            self.executor.with(|engine| engine.broken(self.conn));
         }
     }
 }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -5,8 +5,8 @@
 mod answers;
 mod attempts;
 mod effects;
+pub mod executor;
 mod figures;
-pub mod host;
 mod intake;
 mod membership;
 mod upstream;
--- a/src/grpc/server.rs
+++ b/src/grpc/server.rs
@@ -10,7 +10,7 @@
 use super::upstream::Upstream;
 use crate::admission::gate::Gate;
 use crate::clock::span;
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use crate::wire::client::Stop;
 use crate::wire::http::{HttpAnswer, HttpRequest};
 use bytes::Bytes;
@@ -32,7 +32,7 @@
 /// The front, as all its tasks share it.
 pub struct GrpcFront {
     /// The host, for the clock and the list of members.
-    pub host: Rc<Host>,
+    pub host: Rc<Executor>,
     /// Connections to backends.
     pub upstream: Rc<Upstream>,
     calls: RefCell<Calls>,
@@ -56,7 +56,7 @@
 
 impl GrpcFront {
     /// A front of an operator file, with its backends listed.
-    pub fn new(host: Rc<Host>, config: GrpcConfig, seed: u64) -> Result<Rc<Self>, String> {
+    pub fn new(host: Rc<Executor>, config: GrpcConfig, seed: u64) -> Result<Rc<Self>, String> {
         let (routes, pools) = config.compile()?;
         let upstream = Upstream::new(host.clock.clone(), config.limits.clone(), config.connections());
         let front = Rc::new(Self {
--- a/src/lifecycle/front.rs
+++ b/src/lifecycle/front.rs
@@ -1,7 +1,7 @@
 //! The second front's file, and its keys while it runs.
 
 use super::config::{address, read_json, ConfigError};
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use crate::wire::client::Limits;
 use crate::wire::keys::{self, Key, KeyRing};
 use crate::wire::signed::{SignedUrls, Verifier};
@@ -124,7 +124,7 @@
 
 /// Keeps a front's keys as its file has them: at once when `reload` says so, else within [`LOOK_MS`]. A file
 /// that can't be used changes nothing; it is logged once, by its fault and never by its text.
-pub async fn keep_keys(host: Rc<Host>, config: FrontConfig, front: Rc<SignedUrls>, reload: Rc<Notify>) {
+pub async fn keep_keys(host: Rc<Executor>, config: FrontConfig, front: Rc<SignedUrls>, reload: Rc<Notify>) {
     let mut last = std::fs::read(&config.keys).unwrap_or_default();
     let mut fault = String::new();
     loop {
--- a/src/lifecycle/maintenance.rs
+++ b/src/lifecycle/maintenance.rs
@@ -3,7 +3,7 @@
 
 use super::config::read_json;
 use crate::clock::span;
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use crate::memory::maintenance::Mark;
 use crate::wire::lines::{member_id, member_text};
 use crate::MemberId;
@@ -39,7 +39,7 @@
     }
 
     /// Takes over what the file says. An absent file says nothing, and neither does one that can't be read.
-    pub fn take_over(&self, host: &Rc<Host>) {
+    pub fn take_over(&self, host: &Rc<Executor>) {
         let Some(path) = self.0.as_ref().filter(|path| path.exists()) else { return };
         match read_json::<Vec<Line>>(path) {
             Ok(lines) => {
@@ -55,7 +55,7 @@
     }
 
     /// Writes down what holds by now. The file is replaced whole, so that the other process never reads half of it.
-    pub fn write(&self, host: &Rc<Host>) -> Result<(), std::io::Error> {
+    pub fn write(&self, host: &Rc<Executor>) -> Result<(), std::io::Error> {
         let Some(path) = &self.0 else { return Ok(()) };
         let line = |(id, mark): (MemberId, Mark)| {
             let (member, out, at_ms) = (member_text(id), mark.out, mark.at_ms);
@@ -68,7 +68,7 @@
     }
 
     /// Follows the file for ever.
-    pub async fn follow(self, host: Rc<Host>) {
+    pub async fn follow(self, host: Rc<Executor>) {
         loop {
             self.take_over(&host);
             tokio::time::sleep(span(LOOK_MS)).await;
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -9,7 +9,7 @@
 use crate::clock::{span, Clock};
 use crate::duties::config::DutiesConfig;
 use crate::duties::driver::Duties;
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use crate::engine::{Engine, EngineBounds};
 use crate::grpc::config::GrpcConfig;
 use crate::grpc::server::{self as grpc, GrpcFront};
@@ -128,7 +128,7 @@
     let bulletin = config.bulletin().map_err(|why| ServeError::Field("bulletin", why))?;
     let (bulletin, moves) = watch::channel(bulletin);
     let seed = config.seed().map_err(|why| ServeError::Field("seed", why))?;
-    let host = Host::new(clock, engine, CacheDriver);
+    let host = Executor::new(clock, engine, CacheDriver);
     if let Some(door) = door.clone() {
         host.set_gate(Gate::new(door, "door"));
     }
@@ -416,7 +416,7 @@
 
 /// Opens the edge for poor links: QUIC, and TCP where the file says so, on one shelf.
 async fn poor_links(
-    host: &Rc<Host>,
+    host: &Rc<Executor>,
     config: &PoorConfig,
     inner: Rc<dyn Front>,
     stop: &Rc<Stop>,
@@ -453,7 +453,7 @@
 type Fronts = Rc<RefCell<Vec<(FrontKind, Rc<dyn Front>)>>>;
 
 /// How a virtual address's listener is served, by the fronts that are on.
-fn accept_virtual(host: &Rc<Host>, fronts: &Fronts, grpc: Option<Rc<GrpcFront>>) -> vrrp::Accept {
+fn accept_virtual(host: &Rc<Executor>, fronts: &Fronts, grpc: Option<Rc<GrpcFront>>) -> vrrp::Accept {
     let (host, fronts) = (host.clone(), fronts.clone());
     Box::new(move |kind, listener, stop, closing| {
         if let (FrontKind::Grpc, Some(front)) = (kind, &grpc) {
@@ -467,7 +467,7 @@
 }
 
 /// The numbers of what a virtual router tracks.
-fn tracked(host: &Rc<Host>, link: Option<Rc<RefCell<Link>>>, grpc: Option<Rc<GrpcFront>>) -> vrrp::Ask {
+fn tracked(host: &Rc<Executor>, link: Option<Rc<RefCell<Link>>>, grpc: Option<Rc<GrpcFront>>) -> vrrp::Ask {
     let (host, rate) = (host.clone(), RefCell::new(Rate::default()));
     Box::new(move |what| match what {
         What::Registry => {
@@ -481,7 +481,7 @@
 
 /// Reads the configuration again, takes its settings and moves the bulletin's link where it says another address.
 /// Guards a running proxy against a file that can't be used: all stays as it was.
-pub fn read_again(host: &Rc<Host>, config: &Config, bulletin: &watch::Sender<SocketAddr>) {
+pub fn read_again(host: &Rc<Executor>, config: &Config, bulletin: &watch::Sender<SocketAddr>) {
     let read = config.again().map_err(|e| e.to_string());
     match read.and_then(|fresh| Ok((fresh.bulletin()?, fresh.settings))) {
         Ok((address, settings)) => {
@@ -500,7 +500,7 @@
 }
 
 /// Reads the door's file again: other weights hold from the next round; a file that can't be used changes nothing.
-pub fn read_door_again(host: &Rc<Host>, door: &DoorConfig) {
+pub fn read_door_again(host: &Rc<Executor>, door: &DoorConfig) {
     match door.again() {
         Ok(fresh) => {
             host.with_gate(|gate| gate.retune(fresh));
@@ -514,13 +514,13 @@
     TcpListener::bind(at).await.map_err(|e| ServeError::System(format!("listen on {at}"), e))
 }
 
-fn print_counters(host: &Rc<Host>) {
+fn print_counters(host: &Rc<Executor>) {
     let counters = host.with(|engine| engine.counters.to_string());
     tracing::info!("counters\n{}", counters.trim_end());
 }
 
 /// Runs a task that must never end: guards against a panic in it stopping what all others need.
-fn always<F, T>(host: &Rc<Host>, what: &'static str, make: F)
+fn always<F, T>(host: &Rc<Executor>, what: &'static str, make: F)
 where
     F: Fn() -> T + 'static,
     T: Future<Output = ()> + 'static,
--- a/src/poor/front.rs
+++ b/src/poor/front.rs
@@ -4,7 +4,7 @@
 use super::keeper::Keeper;
 use super::session::Sessions;
 use super::shelf::SessionId;
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use crate::memory::requests::{Final, NotTaken};
 use crate::wire::client::{Context, Front, Intake, Limits};
 use crate::wire::http::{HttpAnswer, HttpRequest};
@@ -80,7 +80,7 @@
         &self.limits
     }
 
-    fn take(&self, host: &Rc<Host>, request: &HttpRequest, now: f64) -> Intake {
+    fn take(&self, host: &Rc<Executor>, request: &HttpRequest, now: f64) -> Intake {
         match self.inner.take(host, request, now) {
             Intake::Ask(ask, mut context) => {
                 let header = |name| request.single(name).ok().flatten().map(String::from);
--- a/src/poor/h3.rs
+++ b/src/poor/h3.rs
@@ -8,7 +8,7 @@
 use super::link::{Link, Sample};
 use super::turns::{Priority, Turns};
 use crate::clock::span;
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use crate::memory::requests::Final;
 use crate::wire::client::{Front, Intake, Open, Stop};
 use crate::wire::http::{HttpAnswer, HttpRequest};
@@ -104,7 +104,7 @@
 
 /// The driver, as its tasks share it.
 pub struct Driver {
-    host: Rc<Host>,
+    host: Rc<Executor>,
     front: Rc<PoorFront>,
     keeper: Rc<Keeper>,
     limits: Limits,
@@ -114,7 +114,7 @@
 
 impl Driver {
     /// A driver of a front.
-    pub fn new(host: Rc<Host>, front: Rc<PoorFront>, keeper: Rc<Keeper>, limits: Limits) -> Rc<Self> {
+    pub fn new(host: Rc<Executor>, front: Rc<PoorFront>, keeper: Rc<Keeper>, limits: Limits) -> Rc<Self> {
         let (open, figures) = Default::default();
         Rc::new(Self { host, front, keeper, limits, open, figures })
     }
--- a/src/poor/keeper.rs
+++ b/src/poor/keeper.rs
@@ -3,7 +3,7 @@
 
 use super::shelf::{Claim, Key, SessionId, Shelf, ShelfBounds, ShelfFigures};
 use crate::clock::span;
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use crate::memory::requests::{Ask, Final, NotTaken};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -16,7 +16,7 @@
 /// The shelf in service.
 pub struct Keeper {
     /// The host.
-    pub host: Rc<Host>,
+    pub host: Rc<Executor>,
     shelf: RefCell<Shelf>,
     waiting: RefCell<HashMap<Key, Vec<oneshot::Sender<Final>>>>,
     hasher: ahash::RandomState,
@@ -39,7 +39,7 @@
 
 impl Keeper {
     /// A keeper with an empty shelf.
-    pub fn new(host: Rc<Host>, bounds: ShelfBounds) -> Rc<Self> {
+    pub fn new(host: Rc<Executor>, bounds: ShelfBounds) -> Rc<Self> {
         let (shelf, waiting) = (RefCell::new(Shelf::new(bounds)), RefCell::default());
         Rc::new(Self { host, shelf, waiting, hasher: ahash::RandomState::new(), due: Notify::new() })
     }
--- a/src/purge/driver.rs
+++ b/src/purge/driver.rs
@@ -7,7 +7,7 @@
 use super::log::LogError;
 use super::wire::{call, from_json, to_json, Ack, Batch, Fault, Submit};
 use crate::clock::span;
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use crate::wire::http::{HttpAnswer, HttpRequest};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -31,7 +31,7 @@
 }
 
 /// Gives the engine its guard, reads the log, and makes the desk. The ledger binds before anything is served.
-pub fn open(host: &Rc<Host>, config: PurgeConfig, seed: u64) -> Result<Rc<Desk>, LogError> {
+pub fn open(host: &Rc<Executor>, config: PurgeConfig, seed: u64) -> Result<Rc<Desk>, LogError> {
     let now = host.clock.now();
     let guard = Guard::new(config.ledger_bounds(), config.tags_most);
     let book = host.with(|engine| {
@@ -42,7 +42,7 @@
 }
 
 /// The leader's task: sends each target what it lacks, and keeps the log lasting. A follower's only syncs.
-pub async fn run(host: Rc<Host>, desk: Rc<Desk>) {
+pub async fn run(host: Rc<Executor>, desk: Rc<Desk>) {
     let leader = desk.book.borrow().role() == Role::Leader;
     let (mut look_at, mut sync_at) = (f64::NEG_INFINITY, host.clock.now() + SYNC_MS);
     loop {
@@ -74,7 +74,7 @@
     }
 }
 
-async fn send(host: Rc<Host>, desk: Rc<Desk>, out: Outgoing) {
+async fn send(host: Rc<Executor>, desk: Rc<Desk>, out: Outgoing) {
     let body = to_json(&out.batch);
     let within = span(desk.config.timeout_ms);
     let answer = call(out.address, "POST", "/purges/apply", &body, within).await;
@@ -108,7 +108,7 @@
 }
 
 /// Answers the purge calls of the second address; none for a call that is not one of them.
-pub fn answer(host: &Rc<Host>, desk: &Rc<Desk>, request: &HttpRequest) -> Option<HttpAnswer> {
+pub fn answer(host: &Rc<Executor>, desk: &Rc<Desk>, request: &HttpRequest) -> Option<HttpAnswer> {
     let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
     let allowed = match path {
         "/purges" => "GET, POST",
--- a/src/registry/driver.rs
+++ b/src/registry/driver.rs
@@ -6,7 +6,7 @@
 use super::view::{MemberView, Update, ViewFigures};
 use super::wire::{range, RegistryError, Told, Watch};
 use crate::clock::span;
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use crate::wire::http::{HttpAnswer, HttpRequest};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -33,7 +33,7 @@
     pub view: ViewFigures,
 }
 
-fn tell(host: &Rc<Host>, link: &RefCell<Link>, view: &MemberView, update: Update) {
+fn tell(host: &Rc<Executor>, link: &RefCell<Link>, view: &MemberView, update: Update) {
     for (key, why) in &update.faults {
         tracing::error!(key, why, "registry: a member's value can't be read; it stays as it was");
     }
@@ -62,7 +62,7 @@
 }
 
 /// Keeps the members from the registry for ever.
-pub async fn keep(host: Rc<Host>, config: RegistryConfig, link: Rc<RefCell<Link>>, seed: u64) {
+pub async fn keep(host: Rc<Executor>, config: RegistryConfig, link: Rc<RefCell<Link>>, seed: u64) {
     let (at, within) = (config.at(), span(config.timeout_ms));
     let mut view = MemberView::new();
     let mut session = Session::new(config.backoff, config.stall_ms, seed);
@@ -96,7 +96,7 @@
 
 /// Follows a watch until it ends: `None` where a full read is due, else why it broke.
 async fn follow(
-    host: &Rc<Host>,
+    host: &Rc<Executor>,
     link: &RefCell<Link>,
     view: &mut MemberView,
     session: &mut Session,
--- a/src/vrrp/driver.rs
+++ b/src/vrrp/driver.rs
@@ -8,7 +8,7 @@
 use super::service::{Command, Service};
 use super::track::{standing, Rate, Track, What};
 use crate::clock::span;
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use crate::wire::client::Stop;
 use crate::wire::http::{HttpAnswer, HttpRequest};
 use std::cell::{Cell, RefCell};
@@ -71,7 +71,7 @@
 
 /// A virtual router, as its task and the second address share it.
 pub struct Router {
-    host: Rc<Host>,
+    host: Rc<Executor>,
     config: RefCell<VrrpConfig>,
     machine: RefCell<Machine>,
     service: RefCell<Service>,
@@ -94,7 +94,7 @@
 
 impl Router {
     /// A router of an operator file, not yet started.
-    pub fn new(host: Rc<Host>, config: VrrpConfig, accept: Accept, ask: Ask) -> Result<Rc<Self>, String> {
+    pub fn new(host: Rc<Executor>, config: VrrpConfig, accept: Accept, ask: Ask) -> Result<Rc<Self>, String> {
         let seals = config.keys()?.map(|keys| Seals::new(keys, config.clock_skew_ms));
         let service = Service::new(config.serve.len(), config.open_patience_ms, config.aside_ms);
         Ok(Rc::new(Self {
@@ -400,7 +400,7 @@
 }
 
 /// Numbers of things that the host itself knows; the others are the caller's.
-pub fn host_value(host: &Rc<Host>, rate: &RefCell<Rate>, what: &What) -> Option<f64> {
+pub fn host_value(host: &Rc<Executor>, rate: &RefCell<Rate>, what: &What) -> Option<f64> {
     let now = host.clock.now();
     match what {
         What::Pool => host.with(|engine| engine.pool_share()),
--- a/src/wire/bulletin.rs
+++ b/src/wire/bulletin.rs
@@ -3,7 +3,7 @@
 use super::frames::FrameCodec;
 use super::WireError;
 use crate::clock::span;
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -59,7 +59,7 @@
 /// Keeps a link to the bulletin for ever. A link that ends is made anew from the last number: what the bulletin holds
 /// counts as told, so every moment without a link is one in which a rule may be broken unseen. Where the bulletin
 /// moves, the link goes to its new address at once: the old one tells nothing more.
-pub async fn keep(host: Rc<Host>, mut address: watch::Receiver<SocketAddr>) {
+pub async fn keep(host: Rc<Executor>, mut address: watch::Receiver<SocketAddr>) {
     let mut progress = Progress::default();
     loop {
         let at = *address.borrow_and_update();
@@ -90,7 +90,7 @@
     }
 }
 
-async fn follow(host: &Rc<Host>, address: SocketAddr, progress: &mut Progress) -> Result<(), WireError> {
+async fn follow(host: &Rc<Executor>, address: SocketAddr, progress: &mut Progress) -> Result<(), WireError> {
     let silent = || WireError::Socket(std::io::ErrorKind::TimedOut.into());
     progress.vain += 1;
     let stream = timeout(span(CONNECT_MS), TcpStream::connect(address)).await.map_err(|_| silent())??;
--- a/src/wire/cache.rs
+++ b/src/wire/cache.rs
@@ -3,7 +3,7 @@
 use super::lines::{hex16, Command, LineCodec};
 use super::WireError;
 use crate::clock::span;
-use crate::engine::host::{ConnectionDriver, Dial, Host};
+use crate::engine::executor::{ConnectionDriver, Dial, Executor};
 use crate::engine::Next;
 use crate::memory::connections::ConnId;
 use bytes::BytesMut;
@@ -33,28 +33,28 @@
 pub struct CacheDriver;
 
 impl ConnectionDriver for CacheDriver {
-    fn drive(&self, host: Rc<Host>, dial: Dial) -> LocalBoxFuture<'static, ()> {
-        Box::pin(async move { drive(&host, dial).await })
+    fn drive(&self, executor: Rc<Executor>, dial: Dial) -> LocalBoxFuture<'static, ()> {
+        Box::pin(async move { drive(&executor, dial).await })
     }
 }
 
 /// Connects, writes what the engine has and hands it what comes, until either side ends.
-async fn drive(host: &Rc<Host>, dial: Dial) {
+async fn drive(executor: &Rc<Executor>, dial: Dial) {
     let Dial { conn, address, within_ms, waker } = dial;
     let stream = match timeout(span(within_ms), TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return host.with(|engine| engine.connect_failed(conn, is_local(&error))),
-        Err(_) => return host.with(|engine| engine.connect_failed(conn, false)),
+        Ok(Err(error)) => return executor.with(|engine| engine.connect_failed(conn, is_local(&error))),
+        Err(_) => return executor.with(|engine| engine.connect_failed(conn, false)),
     };
     let _ = stream.set_nodelay(true);
-    host.with(|engine| engine.connected(conn));
+    executor.with(|engine| engine.connected(conn));
     let (source, sink) = stream.into_split();
     let source = FramedRead::new(source, LineCodec::default());
-    let mut reading = Box::pin(read(host, conn, source));
+    let mut reading = Box::pin(read(executor, conn, source));
     let end = tokio::select! {
         biased;
         end = &mut reading => end,
-        end = write(host, conn, sink, &waker) => match end {
+        end = write(executor, conn, sink, &waker) => match end {
             Ok(()) => Ok(()),
             // Guards answers that came whole before the connection broke: what they answer has not been lost.
             Err(broken) => match timeout(span(LAST_READ_MS), &mut reading).await {
@@ -65,7 +65,7 @@
     };
     match &end {
         Err(error @ (WireError::Malformed(_) | WireError::TooLarge(_))) => {
-            let told = host.with(|engine| {
+            let told = executor.with(|engine| {
                 engine.counters.malformed_members += 1;
                 engine.counters.malformed_members
             });
@@ -73,13 +73,13 @@
             if told.is_power_of_two() {
                 tracing::warn!(member = %address, %error, told, "a member's connection failed");
             }
-            host.with(|engine| engine.spoilt(conn));
+            executor.with(|engine| engine.spoilt(conn));
         }
-        Err(WireError::Stalled) => host.with(|engine| {
+        Err(WireError::Stalled) => executor.with(|engine| {
             engine.counters.stalled_members += 1;
             engine.spoilt(conn);
         }),
-        Ok(()) | Err(WireError::Socket(_)) => host.with(|engine| engine.broken(conn)),
+        Ok(()) | Err(WireError::Socket(_)) => executor.with(|engine| engine.broken(conn)),
     }
 }
 
@@ -90,7 +90,7 @@
 }
 
 async fn read(
-    host: &Rc<Host>,
+    executor: &Rc<Executor>,
     conn: ConnId,
     mut source: FramedRead<OwnedReadHalf, LineCodec>,
 ) -> Result<(), WireError> {
@@ -101,7 +101,7 @@
             Ok(Some(reply)) => {
                 let reply = reply?;
                 held = None;
-                host.with(|engine| engine.answered(conn, reply));
+                executor.with(|engine| engine.answered(conn, reply));
             }
             Ok(None) => return Ok(()),
             // Guards all that waits on this connection against an answer that has stopped short.
@@ -118,14 +118,14 @@
 }
 
 async fn write(
-    host: &Rc<Host>,
+    executor: &Rc<Executor>,
     conn: ConnId,
     mut sink: OwnedWriteHalf,
     waker: &Notify,
 ) -> Result<(), WireError> {
     let (mut codec, mut bytes) = (LineCodec::default(), BytesMut::new());
     loop {
-        let command = match host.with(|engine| engine.next_write(conn)) {
+        let command = match executor.with(|engine| engine.next_write(conn)) {
             Next::Write(command) => command,
             Next::Idle => {
                 waker.notified().await;
@@ -144,7 +144,7 @@
             // out yet goes back, and is looked at again when there is room for it.
             (Err(error), Some(request)) if error.kind() == ErrorKind::WouldBlock => {
                 bytes.clear();
-                host.with(|engine| engine.unwritten(conn, request));
+                executor.with(|engine| engine.unwritten(conn, request));
                 match timeout(span(WRITE_MS), sink.writable()).await {
                     Ok(room) => room?,
                     Err(_) => return Ok(()),
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -4,7 +4,7 @@
 use super::http::{BadRequest, HttpAnswer, HttpCodec, HttpRequest, Phase};
 use super::link::{Link, Read};
 use crate::clock::span;
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use crate::memory::places::{PlaceId, Places};
 use crate::memory::requests::{Ask, Final, NotTaken};
 use crate::poor::keeper::{Keeper, Kept};
@@ -100,7 +100,7 @@
     /// Its bounds.
     fn limits(&self) -> &Limits;
     /// Parses and authenticates a request that was whole at `now`.
-    fn take(&self, host: &Rc<Host>, request: &HttpRequest, now: f64) -> Intake;
+    fn take(&self, host: &Rc<Executor>, request: &HttpRequest, now: f64) -> Intake;
     /// Words a final answer.
     fn word(&self, context: &Context, answer: Final) -> HttpAnswer;
     /// Words that a request could not be taken.
@@ -171,7 +171,7 @@
     }
 
     /// Waits for a place; at the cap the connection that is idle for longest gives up its own.
-    async fn enter(self: &Rc<Self>, host: &Rc<Host>) -> Seat {
+    async fn enter(self: &Rc<Self>, host: &Rc<Executor>) -> Seat {
         loop {
             let now = host.clock.now();
             if let Some(id) = self.places.borrow_mut().take(now) {
@@ -229,7 +229,7 @@
 
 /// Accepts clients until `closing`; then takes those that the machine has accepted already, and ends.
 pub async fn accept(
-    host: Rc<Host>,
+    host: Rc<Executor>,
     front: Rc<dyn Front>,
     listener: TcpListener,
     stop: Rc<Stop>,
@@ -315,7 +315,7 @@
 }
 
 async fn serve(
-    host: &Rc<Host>,
+    host: &Rc<Executor>,
     front: &dyn Front,
     stream: TcpStream,
     peer: std::net::IpAddr,
@@ -341,7 +341,7 @@
 }
 
 async fn converse(
-    host: &Rc<Host>,
+    host: &Rc<Executor>,
     front: &dyn Front,
     link: &mut Link,
     peer: std::net::IpAddr,
@@ -414,7 +414,7 @@
 /// Waits for the next request; `Err` says in which phase the client took too long, or that its place is needed
 /// or the proxy stops.
 async fn next(
-    host: &Rc<Host>,
+    host: &Rc<Executor>,
     limits: &Limits,
     link: &mut Link,
     stop: &Stop,
@@ -454,7 +454,7 @@
 }
 
 /// Answers a fault, after which nothing more can be read.
-async fn part(host: &Rc<Host>, limits: &Limits, link: &mut Link, seat: &Seat, status: u16) -> End {
+async fn part(host: &Rc<Executor>, limits: &Limits, link: &mut Link, seat: &Seat, status: u16) -> End {
     seat.busy();
     match link.write(HttpAnswer::closing(status), limits.write_ms).await {
         Ok(()) => End::Closed,
@@ -472,7 +472,7 @@
 }
 
 /// Waits for a request's answer, with an eye on whether the client leaves.
-async fn wait(host: &Rc<Host>, link: &mut Link, ask: Ask) -> Waited {
+async fn wait(host: &Rc<Executor>, link: &mut Link, ask: Ask) -> Waited {
     let id = ask.id;
     let mut answer = match host.ask(ask) {
         Ok(answer) => answer,
@@ -509,7 +509,7 @@
 }
 
 struct Leaving<'a> {
-    host: &'a Rc<Host>,
+    host: &'a Rc<Executor>,
     id: Option<u64>,
 }
 
--- a/src/wire/manage.rs
+++ b/src/wire/manage.rs
@@ -3,7 +3,7 @@
 use super::client::{Context, Front, Intake, Limits};
 use super::http::{HttpAnswer, HttpRequest};
 use super::lines::member_id;
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use crate::memory::requests::{Final, NotTaken};
 use std::rc::Rc;
 
@@ -15,10 +15,10 @@
 const BODY_MOST: usize = 4_096;
 
 /// Writes maintenance down, so that it outlives this process.
-pub type Keep = Box<dyn Fn(&Rc<Host>) -> Result<(), std::io::Error>>;
+pub type Keep = Box<dyn Fn(&Rc<Executor>) -> Result<(), std::io::Error>>;
 
 /// Further calls of a subsystem that is on, such as fleet purges: an answer for the calls that are its own.
-pub type Calls = Box<dyn Fn(&Rc<Host>, &HttpRequest) -> Option<HttpAnswer>>;
+pub type Calls = Box<dyn Fn(&Rc<Executor>, &HttpRequest) -> Option<HttpAnswer>>;
 
 /// The front of the second address.
 pub struct Manage {
@@ -44,7 +44,7 @@
         self
     }
 
-    fn answer(&self, host: &Rc<Host>, request: &HttpRequest) -> HttpAnswer {
+    fn answer(&self, host: &Rc<Executor>, request: &HttpRequest) -> HttpAnswer {
         if let Some(answer) = self.calls.iter().find_map(|calls| calls(host, request)) {
             return answer;
         }
@@ -69,7 +69,7 @@
     }
 
     /// Takes a member out of use, or puts it back; a yes says that this holds already, and is written down.
-    fn maintain(&self, host: &Rc<Host>, id: u32, out: bool) -> HttpAnswer {
+    fn maintain(&self, host: &Rc<Executor>, id: u32, out: bool) -> HttpAnswer {
         if !host.with(|engine| engine.maintain(id, out)) {
             return HttpAnswer::status(404);
         }
@@ -93,7 +93,7 @@
         &self.limits
     }
 
-    fn take(&self, host: &Rc<Host>, request: &HttpRequest, _: f64) -> Intake {
+    fn take(&self, host: &Rc<Executor>, request: &HttpRequest, _: f64) -> Intake {
         Intake::Now(HttpAnswer { close: true, ..self.answer(host, request) })
     }
 
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -3,7 +3,7 @@
 use super::client::{Context, Front, Intake, Limits};
 use super::http::{HttpAnswer, HttpRequest};
 use super::lines::{hex16, is_value};
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use crate::memory::requests::{Ask, Final, NotTaken};
 use crate::rules::table::{Rules, Said, Target};
 use crate::settings::Env;
@@ -179,7 +179,7 @@
         &self.limits
     }
 
-    fn take(&self, host: &Rc<Host>, request: &HttpRequest, now: f64) -> Intake {
+    fn take(&self, host: &Rc<Executor>, request: &HttpRequest, now: f64) -> Intake {
         if request.target == "/alive" {
             return Intake::Now(match request.method.as_str() {
                 "GET" => HttpAnswer::status(200),
--- a/src/wire/signed.rs
+++ b/src/wire/signed.rs
@@ -9,7 +9,7 @@
 use super::keys::{Key, KeyRing};
 use super::lines::hex16;
 use super::platform::bare_tag;
-use crate::engine::host::Host;
+use crate::engine::executor::Executor;
 use crate::memory::requests::{Ask, Final, NotTaken};
 use crate::settings::Env;
 use jsonwebtoken::{decode, decode_header, encode, Header, Validation};
@@ -421,7 +421,7 @@
         &self.limits
     }
 
-    fn take(&self, host: &Rc<Host>, request: &HttpRequest, now: f64) -> Intake {
+    fn take(&self, host: &Rc<Executor>, request: &HttpRequest, now: f64) -> Intake {
         match self.ask(&host.env(), request, now) {
             Ok((ask, context)) => Intake::Ask(ask, context),
             Err(answer) => {
--- a/tests/grpc.rs
+++ b/tests/grpc.rs
@@ -4,7 +4,7 @@
 mod stand_ins;
 
 use calicobeam::clock::Clock;
-use calicobeam::engine::host::Host;
+use calicobeam::engine::executor::Executor;
 use calicobeam::grpc::config::GrpcConfig;
 use calicobeam::grpc::server::{accept, cut_at_stop, keep, GrpcFront};
 use calicobeam::lifecycle::config::Config;
@@ -53,11 +53,11 @@
     GrpcConfig::read(&dir.join("grpc.json")).unwrap()
 }
 
-fn host(clock: Clock) -> Rc<Host> {
+fn host(clock: Clock) -> Rc<Executor> {
     let config =
         Config::read(Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json"))).unwrap();
     let (engine, _) = engine(&config, &clock, 0).unwrap();
-    Host::new(clock, engine, CacheDriver)
+    Executor::new(clock, engine, CacheDriver)
 }
 
 impl Edge {
--- a/tests/poor_links.rs
+++ b/tests/poor_links.rs
@@ -4,7 +4,7 @@
 mod stand_ins;
 
 use calicobeam::clock::Clock;
-use calicobeam::engine::host::Host;
+use calicobeam::engine::executor::Executor;
 use calicobeam::lifecycle::config::Config;
 use calicobeam::lifecycle::serve::engine;
 use calicobeam::poor::config::PoorConfig;
@@ -63,7 +63,7 @@
         let node = Config::read(&dir.join("config.json")).unwrap();
         let clock = Clock::system();
         let (engine, _) = engine(&node, &clock, 0).unwrap();
-        let host = Host::new(clock, engine, CacheDriver);
+        let host = Executor::new(clock, engine, CacheDriver);
         spawn_local(host.clone().keep_time());
         let file = poor_file(&dir, format!("127.0.{net}.9:1").parse().unwrap(), more);
         let config = PoorConfig::read(&file).unwrap();
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use calicobeam::clock::Clock;
-use calicobeam::engine::host::Host;
+use calicobeam::engine::executor::Executor;
 use calicobeam::engine::Engine;
 use calicobeam::lifecycle::config::Config;
 use calicobeam::lifecycle::serve::engine;
@@ -253,7 +253,7 @@
 /// A proxy with two caches, a parent and an origin.
 pub struct Site {
     pub clock: Clock,
-    pub host: Rc<Host>,
+    pub host: Rc<Executor>,
     pub env: Rc<Env>,
     pub members: HashMap<u32, Cache>,
     pub bulletin: Bulletin,
@@ -320,7 +320,7 @@
         let config = Config::read(&path).unwrap();
         let clock = Clock::manual(START_MS);
         let (engine, env) = engine(&config, &clock, 0).unwrap();
-        let host = Host::new(clock.clone(), engine, CacheDriver);
+        let host = Executor::new(clock.clone(), engine, CacheDriver);
         spawn_local(host.clone().keep_time());
         let (moves, told) = watch::channel(config.bulletin().unwrap());
         spawn_local(bulletin::keep(host.clone(), told));
