Rename: wire/lines is wire/cache_protocol

The codec of the caches' protocol bears its protocol's name; only the module and its imports are changed.

--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -3,7 +3,7 @@
 use super::{Effect, Engine};
 use crate::memory::connections::ConnId;
 use crate::memory::requests::{Ask, Final};
-use crate::wire::lines::{Reply, Word};
+use crate::wire::cache_protocol::{Reply, Word};
 use crate::{RequestId, Verdict};
 
 /// With less than this left of its time, in milliseconds, a request that ends has ended for want of it: the module
--- a/src/engine/attempts.rs
+++ b/src/engine/attempts.rs
@@ -5,7 +5,7 @@
 use crate::memory::attempts::{Attempt, AttemptId, Stage};
 use crate::memory::connections::{ConnId, Place};
 use crate::memory::requests::Ask;
-use crate::wire::lines::Get;
+use crate::wire::cache_protocol::Get;
 use crate::{Event, MemberId, Note, RequestId, Verdict};
 
 /// Silence on a connection, in milliseconds, after which an attempt that timed out there says that the path is
--- a/src/engine/effects.rs
+++ b/src/engine/effects.rs
@@ -2,7 +2,7 @@
 
 use crate::memory::connections::ConnId;
 use crate::memory::requests::Final;
-use crate::wire::lines::Command;
+use crate::wire::cache_protocol::Command;
 use crate::RequestId;
 use std::net::SocketAddrV4;
 
--- a/src/engine/membership.rs
+++ b/src/engine/membership.rs
@@ -5,8 +5,8 @@
 use crate::memory::maintenance::{Maintenance, Mark};
 use crate::memory::requests::Ask;
 use crate::purge::fanout::Standing;
+use crate::wire::cache_protocol::member_text;
 use crate::wire::frames::{News, Numbered, Target};
-use crate::wire::lines::member_text;
 use crate::{Event, MemberId, Verdict};
 use std::net::{SocketAddr, SocketAddrV4};
 
--- a/src/engine/upstream.rs
+++ b/src/engine/upstream.rs
@@ -3,7 +3,7 @@
 use super::{Effect, Engine, Next};
 use crate::memory::attempts::{Attempt, AttemptId};
 use crate::memory::connections::ConnId;
-use crate::wire::lines::Command;
+use crate::wire::cache_protocol::Command;
 use crate::Verdict;
 use std::collections::VecDeque;
 
--- a/src/lifecycle/maintenance.rs
+++ b/src/lifecycle/maintenance.rs
@@ -5,7 +5,7 @@
 use crate::clock::span;
 use crate::engine::executor::Executor;
 use crate::memory::maintenance::Mark;
-use crate::wire::lines::{member_id, member_text};
+use crate::wire::cache_protocol::{member_id, member_text};
 use crate::MemberId;
 use serde::Deserialize;
 use std::path::PathBuf;
--- a/src/wire/cache.rs
+++ b/src/wire/cache.rs
@@ -1,6 +1,6 @@
 //! The driver of a connection to a pop cache.
 
-use super::lines::{hex16, Command, LineCodec};
+use super::cache_protocol::{hex16, Command, LineCodec};
 use super::WireError;
 use crate::clock::span;
 use crate::engine::executor::{ConnectionDriver, Dial, Executor};
--- a/src/wire/manage.rs
+++ b/src/wire/manage.rs
@@ -1,8 +1,8 @@
 //! The second address, for the platform and its staff: one call on a connection, and a 2xx means yes.
 
+use super::cache_protocol::member_id;
 use super::client::{Context, Front, Intake, Limits};
 use super::http::{HttpAnswer, HttpRequest};
-use super::lines::member_id;
 use crate::engine::executor::Executor;
 use crate::memory::requests::{Final, NotTaken};
 use std::rc::Rc;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,11 +3,11 @@
 
 pub mod bulletin;
 pub mod cache;
+pub mod cache_protocol;
 pub mod client;
 pub mod frames;
 pub mod http;
 pub mod keys;
-pub mod lines;
 pub mod link;
 pub mod manage;
 pub mod path_note;
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -1,8 +1,8 @@
 //! The platform's front: what its clients' requests mean, and how its answers are worded.
 
+use super::cache_protocol::{hex16, is_value};
 use super::client::{Context, Front, Intake, Limits};
 use super::http::{HttpAnswer, HttpRequest};
-use super::lines::{hex16, is_value};
 use crate::engine::executor::Executor;
 use crate::memory::requests::{Ask, Final, NotTaken};
 use crate::rules::table::{Rules, Said, Target};
