Second front: a client that leaves behind a flood is noticed at once

Where clients pipeline, Link::left stopped reading once 16 KiB were held and looked every 100 ms whether the machine told of an end. A close behind a full receive window never arrives there: the request stayed open for its whole time, and further attempts were made for a client that had gone.

It reads on now, without a look. What finds no room is thrown away with all behind it; the requests that are held whole are answered in order and the last answer ends the connection.

Seen to fail on the untouched link.rs: a_client_that_leaves_behind_a_flood_is_noticed_on_either_front (hung until the test's bound of 60 s), requests_pipelined_beyond_what_is_held_are_answered_up_to_the_bound. Checked and in order already: a dial that hangs on a real socket, members that time out after their clients left (two new tests hold it), the door's queue (door_loopback), gRPC's door (its Pass is dropped with the call).

--- a/src/wire/http.rs
+++ b/src/wire/http.rs
@@ -127,7 +127,7 @@
 }
 
 /// The server's side of a connection, fed bytes. After a fault it reads nothing more.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct HttpCodec {
     clock: Clock,
     body_most: usize,
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -6,15 +6,13 @@
 use crate::clock::span;
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use std::future::Future;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
-use tokio_util::codec::Framed;
+use tokio::time::timeout;
+use tokio_util::codec::{Decoder, Framed};
 
 /// What is held of a client that goes on sending while its request is open, in bytes.
 pub const AHEAD_MOST: usize = HEAD_MOST;
-/// How often it is looked whether a client has left behind more than that, in milliseconds.
-const LEFT_LOOK_MS: f64 = 100.0;
 /// How long, in milliseconds, what a client still sends after the end is taken in (lingering close).
 const LINGER_MS: f64 = 1_500.0;
 /// How much is read at once while nothing is decoded, in bytes.
@@ -34,9 +32,9 @@
 }
 
 impl Link {
-    /// A connection that was just accepted. Small writes leave at once (`TCP_NODELAY`). Where clients do not pipeline, what
-    /// they send beyond [`AHEAD_MOST`] is thrown away, and the connection ends with the answer; where they do, it waits
-    /// in the machine's buffers.
+    /// A connection that was just accepted. Small writes leave at once (`TCP_NODELAY`). What clients send ahead of an
+    /// answer beyond [`AHEAD_MOST`] is thrown away. Where they do not pipeline, the connection ends with that answer;
+    /// where they do, with the answer to the last request that is held whole.
     pub fn new(stream: TcpStream, codec: HttpCodec, pipelines: bool) -> Self {
         let _ = stream.set_nodelay(true);
         Self { framed: Framed::new(stream, codec), pipelines, overrun: false }
@@ -64,9 +62,16 @@
         self.framed.codec_mut().answered();
     }
 
-    /// Whether more came ahead of an answer than is held: nothing after it can be understood.
+    /// Whether more came ahead of an answer than is held, and no whole request is left of that: nothing that is read
+    /// from now on can be understood.
     pub fn overrun(&self) -> bool {
-        self.overrun
+        self.overrun && !self.holds_request()
+    }
+
+    /// Whether the next request is held whole, or a fault in its place. Decodes a copy.
+    fn holds_request(&self) -> bool {
+        let mut held = self.framed.read_buffer().clone();
+        matches!(self.framed.codec().clone().decode(&mut held), Ok(Some(_)))
     }
 
     /// Whether bytes came ahead of an answer: another request is most likely among them.
@@ -76,28 +81,28 @@
 
     /// Waits until the client leaves: it closed or reset the connection, or ended its side. Whatever it sends
     /// meanwhile is held for the next request, within bounds, so that it neither hides the leaving nor counts as one.
-    /// To be called between a request and its answer only. Cancel safe.
+    /// Reading never pauses: the end of the client's side arrives behind its last byte, which a full receive window
+    /// would keep out. To be called between a request and its answer only. Cancel safe.
     pub async fn left(&mut self) {
         let mut scrap = [0u8; SCRAP];
         loop {
-            if self.pipelines && self.framed.read_buffer().len() + SCRAP > AHEAD_MOST {
-                // No more is read: the end of the client's side shows beside what the machine holds.
-                let ready = self.framed.get_ref().ready(Interest::READABLE).await;
-                if ready.map_or(true, |ready| ready.is_read_closed()) {
-                    return;
-                }
-                sleep(span(LEFT_LOOK_MS)).await;
-                continue;
-            }
             let read = self.framed.get_mut().read(&mut scrap).await;
             let Ok(length @ 1..) = read else { return };
-            let ahead = self.framed.read_buffer_mut();
-            if self.overrun || ahead.len() + length > AHEAD_MOST {
-                self.overrun = true;
-                ahead.clear();
-            } else {
-                ahead.extend_from_slice(&scrap[..length]);
-            }
+            self.hold(&scrap[..length]);
+        }
+    }
+
+    /// Holds bytes that came ahead of an answer. After the first that find no room none are held any more, so that
+    /// what is held has no gap.
+    fn hold(&mut self, bytes: &[u8]) {
+        let ahead = self.framed.read_buffer_mut();
+        if !self.overrun && ahead.len() + bytes.len() <= AHEAD_MOST {
+            ahead.extend_from_slice(bytes);
+            return;
+        }
+        self.overrun = true;
+        if !self.pipelines {
+            ahead.clear();
         }
     }
 
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -3,8 +3,11 @@
 
 mod stand_ins;
 
+use calicobeam::clock::Clock;
 use calicobeam::memory::requests::Ask;
 use calicobeam::wire::client::{Front, Limits};
+use calicobeam::wire::http::HttpCodec;
+use calicobeam::wire::link::{Link, AHEAD_MOST};
 use calicobeam::wire::platform::{limits, Platform};
 use socket2::SockRef;
 use stand_ins::*;
@@ -96,6 +99,91 @@
     });
 }
 
+/// A listener that completes no further connection: its queue is full, and a dial to it hangs until it gives up.
+fn hangs() -> (socket2::Socket, Vec<socket2::Socket>, SocketAddr) {
+    let tcp = || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let listener = tcp();
+    listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    listener.listen(0).unwrap();
+    let at = listener.local_addr().unwrap().as_socket().unwrap();
+    let fill = || {
+        let socket = tcp();
+        socket.set_nonblocking(true).unwrap();
+        let _ = socket.connect(&at.into());
+        socket
+    };
+    let filled = (0..4).map(|_| fill()).collect();
+    (listener, filled, at)
+}
+
+/// Clients that leave while the dial to their member is under way, closed or reset, with a further request ahead or not:
+/// nothing is sent once the dial has failed, and nothing is owed.
+#[test]
+fn clients_that_leave_while_a_dial_hangs_have_nothing_sent_on() {
+    for (k, (ahead, reset)) in
+        [(false, false), (false, true), (true, false), (true, true)].into_iter().enumerate()
+    {
+        run(async move {
+            let (site, at) = open(&format!("hanging{k}")).await;
+            let (_listener, _filled, cache) = hangs();
+            site.bulletin.state(CACHES[0], cache, 0, 0);
+            site.bulletin.state(CACHES[1], cache, 0, 2);
+            until(|| site.host.with(|e| e.last_no()) == 3).await;
+            // Two wait for the same dial.
+            let clients: Vec<Blocking> = (1..=2)
+                .map(|id| {
+                    let mut stream = Blocking::connect(at).unwrap();
+                    stream.write_all(get(id).as_bytes()).unwrap();
+                    if ahead {
+                        stream.write_all(get(10 + id).as_bytes()).unwrap();
+                    }
+                    stream
+                })
+                .collect();
+            until(|| site.host.with(|e| e.counters.attempts) == 2).await;
+            assert_eq!(site.host.with(|e| e.counters.connect_failures), 0, "the dial is under way");
+            for stream in clients {
+                if reset {
+                    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+                }
+            }
+            until(|| site.host.with(|e| e.counters.left) == 2).await;
+            assert_eq!(
+                site.host.with(|e| (e.owed(), e.counters.connect_failures)),
+                (0, 0),
+                "before the dial ends"
+            );
+            until(|| site.host.with(|e| e.counters.connect_failures) > 0).await;
+            tokio::task::yield_now().await;
+            assert_eq!((site.asked_in_all(), site.host.with(|e| e.counters.attempts)), (0, 2));
+        });
+    }
+}
+
+/// Clients that leave behind others at a member that never answers: each is called off at once, and a member that fails
+/// afterwards is no cause for a further attempt.
+#[test]
+fn clients_that_left_get_no_further_attempt_when_their_member_fails() {
+    run(async {
+        let (site, at) = open("no_further").await;
+        site.all(silent());
+        let mut clients = Vec::new();
+        for id in 1..=12 {
+            let mut client = Client::connect(at).await;
+            client.write(get(id).as_bytes()).await;
+            clients.push(client);
+        }
+        until(|| site.asked_in_all() == 12).await;
+        let attempts = site.host.with(|e| e.counters.attempts);
+        drop(clients);
+        until(|| dropped(&site) == 12).await;
+        // Every time limit passes.
+        (0..40).for_each(|_| site.pass(100.0));
+        until(|| site.host.with(|e| e.owed()) == 0).await;
+        assert_eq!((site.asked_in_all(), site.host.with(|e| e.counters.attempts)), (12, attempts));
+    });
+}
+
 /// Pipelined requests are answered in their order, each once, and none goes out before its turn.
 #[test]
 fn pipelined_requests_wait_for_their_turn() {
@@ -131,6 +219,79 @@
     });
 }
 
+/// Writes behind an open request for as long as the machine takes it: either the proxy reads on, or every buffer between
+/// is full and whatever follows, the end of the client's side too, waits behind it.
+async fn flood(stream: &mut Blocking) {
+    /// More than the buffers of a loopback connection hold, in bytes.
+    const FLOOD: usize = 16 << 20;
+    /// Looks at a connection that takes nothing, a millisecond apart, after which it is full.
+    const FULL_LOOKS: u32 = 50;
+    stream.set_nonblocking(true).unwrap();
+    let (mut sent, mut full) = (0, 0);
+    while sent < FLOOD && full < FULL_LOOKS {
+        match stream.write(&[b'x'; 65_536]) {
+            Ok(length) => (sent, full) = (sent + length, 0),
+            Err(_) => {
+                full += 1;
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        }
+    }
+}
+
+/// The end of the client's side behind more than is held: on a front whose clients pipeline, reading stopped at 16 KiB, so
+/// a close behind a full receive window was never noticed, and a reset only by a look every 100 ms.
+#[test]
+fn a_client_that_leaves_behind_a_flood_is_noticed_on_either_front() {
+    for (pipelines, reset) in [(false, false), (false, true), (true, false), (true, true)] {
+        run(async move {
+            let limits = Limits { one_at_a_time: !pipelines, ..limits(400) };
+            let (site, at) = open_with(&format!("behind_flood{pipelines}{reset}"), limits).await;
+            site.all(silent());
+            let mut stream = Blocking::connect(at).unwrap();
+            stream.write_all(get(1).as_bytes()).unwrap();
+            until(|| site.asked_in_all() == 1).await;
+            flood(&mut stream).await;
+            assert_eq!(site.host.with(|e| (e.counters.left, e.owed())), (0, 1), "a flood is no leaving");
+            if reset {
+                SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            }
+            drop(stream);
+            until(|| dropped(&site) == 1).await;
+            assert_eq!(site.host.with(|e| (e.counters.left, e.owed())), (1, 0));
+            assert_eq!(site.asked_in_all(), 1, "nothing further was sent");
+        });
+    }
+}
+
+/// A client that pipelines more than is held: what is held whole is answered in order, the last answer announces the end,
+/// and nothing behind it is taken for a request.
+#[test]
+fn requests_pipelined_beyond_what_is_held_are_answered_up_to_the_bound() {
+    run(async {
+        let (mut client, theirs) = pair().await;
+        let codec = HttpCodec::new(Clock::manual(START_MS), 100);
+        let mut link = Link::new(theirs, codec, true);
+        let length = get(1).len();
+        let sent: String = (1..=4 * (AHEAD_MOST / length) as u64).map(get).collect();
+        client.write_all(sent.as_bytes()).await.unwrap();
+        client.shutdown().await.unwrap();
+        // Its end says that all was read.
+        let mut answered = 0;
+        loop {
+            let request = link.next().await.unwrap().unwrap().unwrap();
+            answered += 1;
+            assert_eq!(request.single("x-call-id"), Ok(Some(&*format!("{answered:016x}"))));
+            link.left().await;
+            if link.overrun() {
+                break;
+            }
+        }
+        let held = answered * length;
+        assert!(held > AHEAD_MOST / 2 && held <= AHEAD_MOST + 2 * length, "{held} bytes of requests");
+    });
+}
+
 // ---- closes ----
 
 /// An idle connection that the proxy ends while a request crosses it: the client reads a clean end, no reset, and what
@@ -209,8 +370,8 @@
         let (_mine, theirs) = pair().await;
         // A second descriptor of the same socket.
         let same = theirs.as_fd().try_clone_to_owned().unwrap();
-        let codec = calicobeam::wire::http::HttpCodec::new(site.clock.clone(), 100);
-        let _link = calicobeam::wire::link::Link::new(theirs, codec, false);
+        let codec = HttpCodec::new(site.clock.clone(), 100);
+        let _link = Link::new(theirs, codec, false);
         assert!(SockRef::from(&same).tcp_nodelay().unwrap());
     });
 }
