Descriptors are held back for the watch, dials and the second address; starts wait for an address

The shares came from limits.sockets alone, summed up to more than it where descriptors were few (the second address's 16 callers were a constant) or subsystems were on, and knew nothing of the machine's limit: under ulimit -n 64 idle clients took every descriptor, 366 accepts failed in the test, and the watch and dials got theirs by luck.

lifecycle/descriptors.rs shares what the process may really hold: what is open at the start, what the process opens itself, callers and subsystems come first, then clients and members, two fifths each where that leaves enough (1,024 gives 409, 409 and 16 as before). What an operator turned on beside the platform's front must fit, else the start is refused by name. Calls of fleet purges and probes of shared duties are 64 at once at most: each takes a descriptor.

A start at an address that a killed process still has ended at once; it now tries for 3 s.

Seen to fail without the change: idle_clients_leave_descriptors_to_the_watch_the_members_and_the_second_address (on the untouched src/), a_start_at_an_address_that_is_still_in_use_serves_once_it_is_free (with a wait of 0). In order already, now held by tests/scarcity.rs: readiness with discovery down or silent, SIGKILL after an accept, a reload followed by a drain, whole lists and late silence, requests in pieces.

want_of_descriptors_ends_nothing: a process counts its descriptors when it starts, so the limit is lowered under it with prlimit; what it asserts is unchanged. tests/stand_ins/running.rs holds what tests/process.rs had of its own.

--- a/src/duties/driver.rs
+++ b/src/duties/driver.rs
@@ -16,6 +16,7 @@
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpStream, UdpSocket};
+use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
 /// What the datagrams' seals are for.
@@ -26,6 +27,8 @@
 const LOOK_MS: f64 = 100.0;
 /// How long after a result it is told once more, in milliseconds: a datagram may get lost.
 const TELL_AGAIN_MS: f64 = 100.0;
+/// Probes at once: each takes a descriptor, and there may be more servers than those.
+pub const PROBES_MOST: usize = 64;
 /// The most of a probe's answer that is read.
 const ANSWER_MOST: usize = 1_024;
 
@@ -40,14 +43,18 @@
     servers: RefCell<BTreeMap<DutyId, SocketAddr>>,
     roster_seen: Cell<u64>,
     ignored: Cell<u64>,
+    /// The other instances' addresses.
+    others: BTreeMap<InstanceId, SocketAddr>,
+    /// Bounds the probes under way.
+    probes: Semaphore,
 }
 
 impl Duties {
     /// Shared duties of an operator file, over a socket that is bound where it says.
     pub fn new(host: Rc<Executor>, config: DutiesConfig, socket: UdpSocket) -> Result<Rc<Self>, String> {
         let seals = config.keys()?.map(|keys| Seals::labelled(keys, config.clock_skew_ms, LABEL));
-        let others = config.others().into_iter().map(|(id, _)| id);
-        let plan = Plan::new(host.clock.now(), config.id, others, config.times());
+        let others: BTreeMap<InstanceId, SocketAddr> = config.others().into_iter().collect();
+        let plan = Plan::new(host.clock.now(), config.id, others.keys().copied(), config.times());
         host.with(|engine| engine.share_probes());
         Ok(Rc::new(Self {
             plan: RefCell::new(plan),
@@ -56,6 +63,8 @@
             servers: RefCell::default(),
             roster_seen: Cell::new(u64::MAX),
             ignored: Cell::new(0),
+            others,
+            probes: Semaphore::new(PROBES_MOST),
             host,
             config,
             socket,
@@ -95,7 +104,7 @@
     }
 
     async fn send(&self, to: InstanceId, message: &Message) {
-        let Some((_, at)) = self.config.others().into_iter().find(|(id, _)| *id == to) else { return };
+        let Some(at) = self.others.get(&to) else { return };
         let text = simd_json::to_vec(message).unwrap_or_default();
         let text = match &mut *self.seals.borrow_mut() {
             Some(seals) => seals.seal(self.now(), text),
@@ -106,8 +115,8 @@
     }
 
     async fn tell(&self, message: &Message) {
-        for (id, _) in self.config.others() {
-            self.send(id, message).await;
+        for id in self.others.keys() {
+            self.send(*id, message).await;
         }
     }
 
@@ -127,6 +136,7 @@
     /// Probes a server, once, and tells what came of it.
     async fn probe(&self, duty: DutyId, slot: Slot) {
         let Some(at) = self.servers.borrow().get(&duty).copied() else { return };
+        let _place = self.probes.acquire().await;
         let start = self.now();
         let ok = timeout(span(self.config.probe_ms), reach(at, &self.config.probe)).await == Ok(true);
         let took_ms = self.now() - start;
@@ -151,7 +161,7 @@
 
     /// A datagram's message and its sender; none where it is not heeded.
     fn read(&self, from: SocketAddr, datagram: &[u8]) -> Option<(InstanceId, Message)> {
-        let id = self.config.others().into_iter().find(|(_, at)| *at == from).map(|(id, _)| id);
+        let id = self.others.iter().find(|(_, at)| **at == from).map(|(id, _)| *id);
         let read = || {
             let id = id?;
             let mut text = match &mut *self.seals.borrow_mut() {
--- /dev/null
+++ b/src/lifecycle/descriptors/tests.rs
@@ -0,0 +1,50 @@
+use super::*;
+
+fn taken(most: usize, shares: Shares, demand: Demand) -> usize {
+    let counted = shares.clients + shares.members + shares.callers + demand.signed + demand.others;
+    assert!(counted + HELD_AT_START + OWN <= most, "{most}: {shares:?} and {demand:?}");
+    counted
+}
+
+/// Whatever the limit, the shares and what is held back fit into it.
+#[test]
+fn the_shares_never_exceed_the_limit() {
+    for most in 24..4_096 {
+        for others in [0, 64, 320] {
+            for handed_over in [false, true] {
+                let demand = Demand { signed: others / 2, others, handed_over };
+                let shares = Shares::of(Descriptors::planned(most), demand);
+                if !shares.short {
+                    taken(most, shares, demand);
+                }
+            }
+        }
+    }
+}
+
+/// A usual limit is shared as ever: what is held back comes out of the fifth that was nobody's.
+#[test]
+fn a_usual_limit_is_shared_in_fifths() {
+    let shares = Shares::of(Descriptors::planned(1_024), Demand::default());
+    assert_eq!(shares, Shares { clients: 409, members: 409, callers: 16, short: false });
+    let beside = Demand { handed_over: true, ..Demand::default() };
+    assert_eq!(Shares::of(Descriptors::planned(1_024), beside).members, 256);
+}
+
+/// Want of descriptors is told, and still leaves something to each.
+#[test]
+fn want_of_descriptors_is_told() {
+    let shares = Shares::of(Descriptors::planned(64), Demand { others: 60, ..Demand::default() });
+    assert!(shares.short && shares.clients == 1 && shares.members == 1 && shares.callers == 4);
+    assert!(!Shares::of(Descriptors::planned(24), Demand::default()).short);
+}
+
+/// The machine's limit counts where it is lower than the configuration's.
+#[test]
+fn the_machines_limit_counts_too() {
+    let (soft, _) = Resource::NOFILE.get().unwrap();
+    let descriptors = Descriptors::of_process(usize::MAX);
+    assert_eq!(descriptors.most as u64, soft);
+    assert!((3..descriptors.most).contains(&descriptors.held));
+    assert_eq!(Descriptors::of_process(20).most, 20);
+}
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -1,6 +1,7 @@
 //! The serving process: start, signals, stop.
 
 use super::config::Config;
+use super::descriptors::{Demand, Descriptors, Shares};
 use super::front::{keep_keys, FrontConfig};
 use super::inherit;
 use super::maintenance::Store;
@@ -8,7 +9,7 @@
 use crate::admission::gate::Gate;
 use crate::clock::{span, Clock};
 use crate::duties::config::DutiesConfig;
-use crate::duties::driver::Duties;
+use crate::duties::driver::{self as duties_driver, Duties};
 use crate::engine::executor::Executor;
 use crate::engine::{Engine, EngineBounds};
 use crate::grpc::config::GrpcConfig;
@@ -34,6 +35,7 @@
 use crate::wire::platform::{self, Platform};
 use std::cell::RefCell;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -49,6 +51,11 @@
 /// How long, in milliseconds, idle clients are kept after SIGTERM where a new process serves beside this one. Most go
 /// by themselves with their next answer, so few requests cross the end of their connection.
 const KEEP_IDLE_MS: f64 = 2_000.0;
+/// How long an address may still be a process's that was just killed, in milliseconds: it is gone once the system has
+/// taken its memory and sockets back, which its platform may not have waited for.
+const IN_USE_MS: f64 = 3_000.0;
+/// How often such an address is tried, in milliseconds.
+const IN_USE_LOOK_MS: f64 = 10.0;
 /// How often a stop looks whether all is done, in milliseconds.
 const STOP_LOOK_MS: f64 = 5.0;
 
@@ -89,19 +96,29 @@
     pub rules: Option<(RulesConfig, Rules)>,
 }
 
-/// Starts the engine of a configuration, with what was known at the start. A second front may bring `extra`
-/// connections of clients; the members' connections make room for them.
+/// Starts the engine of a configuration, with what was known at the start, for a process that may hold all descriptors
+/// that the configuration names. A second front may bring `extra` connections of clients.
 pub fn engine(
     config: &Config,
     clock: &Clock,
     extra: usize,
+) -> Result<(Engine, Rc<crate::settings::Env>), ServeError> {
+    let demand = Demand { signed: extra, handed_over: config.handed_over, ..Demand::default() };
+    let shares = Shares::of(Descriptors::planned(config.limits.sockets), demand);
+    engine_with(config, clock, extra, shares)
+}
+
+fn engine_with(
+    config: &Config,
+    clock: &Clock,
+    extra: usize,
+    shares: Shares,
 ) -> Result<(Engine, Rc<crate::settings::Env>), ServeError> {
     let env = Rc::new(config.settings.clone());
     let seed = config.seed().map_err(|why| ServeError::Field("seed", why))?;
     let sockets = config.limits.sockets;
     let connections = Bounds {
-        // Where a new process may serve beside this one, both have their descriptors of one limit.
-        total: if config.handed_over { sockets / 4 } else { sockets * 2 / 5 } - extra / 2,
+        total: shares.members,
         member: (sockets / 64).clamp(2, 16),
         spread: 4,
         streams: env.streams_per_connection(),
@@ -115,15 +132,52 @@
     Ok((engine, env))
 }
 
+/// What takes descriptors besides the platform's front, with what is on.
+fn demand(config: &Config, extras: &Extras) -> Demand {
+    let at = |kind| {
+        let virtual_listeners = extras.router.iter().flat_map(|router| &router.serve);
+        1 + virtual_listeners.filter(|serve| serve.front == kind).count()
+    };
+    let signed = extras.front.as_ref().map_or(0, |f| f.connections() * at(FrontKind::Signed));
+    let grpc =
+        extras.grpc.as_ref().map_or(0, |g| g.limits.clients * at(FrontKind::Grpc) + g.limits.connections);
+    let poor = extras.poor.as_ref().map_or(0, |p| p.tcp_at().map_or(0, |_| p.limits.tcp_connections));
+    let purges = extras.purges.as_ref().map_or(0, |_| driver::CALLS_MOST);
+    let probes = extras.duties.as_ref().map_or(0, |_| duties_driver::PROBES_MOST);
+    Demand { signed, others: grpc + poor + purges + probes, handed_over: config.handed_over }
+}
+
+/// Shares this process's descriptors.
+fn shares(config: &Config, demand: Demand) -> Result<Shares, ServeError> {
+    let descriptors = Descriptors::of_process(config.limits.sockets);
+    let shares = Shares::of(descriptors, demand);
+    if descriptors.most < config.limits.sockets {
+        tracing::warn!(
+            descriptors.most,
+            configured = config.limits.sockets,
+            "the machine allows fewer descriptors"
+        );
+    }
+    // Alone, the platform's front makes do with what there is; what an operator turned on beside it must fit.
+    if shares.short && demand.signed + demand.others > 0 {
+        let needed = demand.signed + demand.others;
+        let why =
+            format!("{} are too few: what is on needs {needed} beside clients and members", descriptors.most);
+        return Err(ServeError::Field("limits.sockets", why));
+    }
+    Ok(shares)
+}
+
 /// Serves until SIGTERM or SIGINT, and ends once all that was taken is answered.
 pub async fn serve(mut config: Config, extras: Extras) -> Result<(), ServeError> {
-    let Extras { front, router, purges, door, registry, grpc, poor, duties, rules } = extras;
     let handed = inherit::listener();
     let handed = handed.map_err(|e| ServeError::System("the socket that was handed over".into(), e))?;
     config.handed_over = handed.is_some();
     let clock = Clock::system();
-    let extra = front.as_ref().map_or(0, FrontConfig::connections);
-    let (engine, _) = engine(&config, &clock, extra)?;
+    let demand = demand(&config, &extras);
+    let shares = shares(&config, demand)?;
+    let Extras { front, router, purges, door, registry, grpc, poor, duties, rules } = extras;
+    let (engine, _) = engine_with(&config, &clock, demand.signed, shares)?;
     let listen = config.listen().map_err(|why| ServeError::Field("listen", why))?;
     let bulletin = config.bulletin().map_err(|why| ServeError::Field("bulletin", why))?;
     let (bulletin, moves) = watch::channel(bulletin);
@@ -143,10 +197,10 @@
         Some(listener) => listener,
         None => bind(listen).await?,
     };
-    let virtual_address =
-        router.as_ref().is_some_and(|r| r.serve.iter().any(|s| s.front == FrontKind::Platform));
-    // A virtual address's listener has half of the clients' descriptors.
-    let connections = config.limits.sockets * 2 / if virtual_address { 10 } else { 5 };
+    // Each listener of the platform's front, at its own address and at virtual ones, has its part of the clients' share.
+    let virtual_listeners = router.iter().flat_map(|router| &router.serve);
+    let listeners = 1 + virtual_listeners.filter(|serve| serve.front == FrontKind::Platform).count();
+    let connections = (shares.clients / listeners).max(1);
     let own = Rc::new(Platform::new(platform::limits(connections)));
     let (rules_config, rules) = rules.map(|(config, rules)| (config, Rc::new(rules))).unzip();
     own.set_rules(rules.clone());
@@ -194,13 +248,12 @@
         None => None,
         Some(config) => {
             let listen = config.at();
-            let socket = UdpSocket::bind(listen).await;
-            let socket = socket.map_err(|e| ServeError::System(format!("listen on {listen}"), e))?;
+            let socket = bind_udp(listen).await?;
             let duties = Duties::new(host.clone(), config, socket);
             let duties = duties.map_err(|why| ServeError::Field("key_file", why))?;
             let (figures, task) = (duties.clone(), duties.clone());
             host.add_figures(Box::new(move || figures.metrics()));
-            always(&host, "shared duties", move || crate::duties::driver::run(task.clone()));
+            always(&host, "shared duties", move || duties_driver::run(task.clone()));
             tracing::info!(%listen, "duties are shared");
             Some(duties)
         }
@@ -222,7 +275,8 @@
             // What the other process was told meanwhile is kept.
             keep.take_over(host);
             keep.write(host)
-        }));
+        }))
+        .with_callers(shares.callers);
         if let Some(desk) = desk.clone() {
             manage =
                 manage.with_calls(Box::new(move |host, call| driver::answer(host, &desk, call)), CALL_MOST);
@@ -310,8 +364,7 @@
     let router_stop = Rc::new(Notify::new());
     if let Some((router, set)) = &router {
         let listen = set.router().listen;
-        let socket = UdpSocket::bind(listen).await;
-        let socket = socket.map_err(|e| ServeError::System(format!("listen on {listen}"), e))?;
+        let socket = bind_udp(listen).await?;
         host.spawn("the virtual router", vrrp::run(router.clone(), socket, router_stop.clone()));
     }
     tracing::info!("{} serves on {listen}", config.name);
@@ -430,8 +483,8 @@
     let front = Rc::new(PoorFront::new(inner, limits, sessions, keeper.clone()));
     let listen = config.at();
     let server = h3::server_config(config).map_err(field("certificate"))?;
-    let endpoint = quinn::Endpoint::server(server, listen)
-        .map_err(|e| ServeError::System(format!("listen on {listen}"), e))?;
+    let open = || std::future::ready(quinn::Endpoint::server(server.clone(), listen));
+    let endpoint = while_in_use(listen, open).await?;
     let driver = h3::Driver::new(host.clone(), front.clone(), keeper.clone(), l.clone());
     let figures = driver.clone();
     host.add_figures(Box::new(move || figures.metrics()));
@@ -511,7 +564,32 @@
 }
 
 async fn bind(at: SocketAddr) -> Result<TcpListener, ServeError> {
-    TcpListener::bind(at).await.map_err(|e| ServeError::System(format!("listen on {at}"), e))
+    while_in_use(at, || TcpListener::bind(at)).await
+}
+
+async fn bind_udp(at: SocketAddr) -> Result<UdpSocket, ServeError> {
+    while_in_use(at, || UdpSocket::bind(at)).await
+}
+
+/// Opens a socket at an address, and tries again for [`IN_USE_MS`] while another process has it.
+async fn while_in_use<S, T, F>(at: SocketAddr, open: S) -> Result<T, ServeError>
+where
+    S: Fn() -> F,
+    F: Future<Output = std::io::Result<T>>,
+{
+    let mut tries = (IN_USE_MS / IN_USE_LOOK_MS) as u32;
+    loop {
+        match open().await {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && tries > 0 => {
+                if tries == (IN_USE_MS / IN_USE_LOOK_MS) as u32 {
+                    tracing::warn!(%at, "the address is in use; most likely by a process that is ending");
+                }
+                tries -= 1;
+                tokio::time::sleep(span(IN_USE_LOOK_MS)).await;
+            }
+            opened => return opened.map_err(|e| ServeError::System(format!("listen on {at}"), e)),
+        }
+    }
 }
 
 fn print_counters(host: &Rc<Executor>) {
--- a/src/purge/driver.rs
+++ b/src/purge/driver.rs
@@ -11,12 +11,14 @@
 use crate::wire::http::{HttpAnswer, HttpRequest};
 use std::cell::RefCell;
 use std::rc::Rc;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 /// How often the roster's targets are looked at, in milliseconds.
 const TARGETS_LOOK_MS: f64 = 1_000.0;
 /// How often what was written without waiting is made lasting, in milliseconds.
 const SYNC_MS: f64 = 1_000.0;
+/// Calls to targets at once: each takes a descriptor, and there may be more targets than those.
+pub const CALLS_MOST: usize = 64;
 /// The most purges that `GET /purges/log` gives at once.
 const LIST_MOST: usize = 1_000;
 
@@ -28,6 +30,8 @@
     pub config: PurgeConfig,
     /// Wakes the task: a purge was issued, or a batch came back.
     pub wake: Notify,
+    /// Bounds the calls to targets.
+    calls: Semaphore,
 }
 
 /// Gives the engine its guard, reads the log, and makes the desk. The ledger binds before anything is served.
@@ -38,7 +42,12 @@
         let guard = engine.set_guard(guard);
         Book::open(&config, &mut guard.ledger, now, seed)
     })?;
-    Ok(Rc::new(Desk { book: RefCell::new(book), config, wake: Notify::new() }))
+    Ok(Rc::new(Desk {
+        book: RefCell::new(book),
+        config,
+        wake: Notify::new(),
+        calls: Semaphore::new(CALLS_MOST),
+    }))
 }
 
 /// The leader's task: sends each target what it lacks, and keeps the log lasting. A follower's only syncs.
@@ -77,7 +86,9 @@
 async fn send(host: Rc<Executor>, desk: Rc<Desk>, out: Outgoing) {
     let body = to_json(&out.batch);
     let within = span(desk.config.timeout_ms);
+    let place = desk.calls.acquire().await;
     let answer = call(out.address, "POST", "/purges/apply", &body, within).await;
+    drop(place);
     let now = host.clock.now();
     let applied = match answer {
         Ok(answer) if answer.status == 200 => from_json::<Ack>(&answer.body).map(|ack| ack.applied),
--- a/src/wire/manage.rs
+++ b/src/wire/manage.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 /// Connections at once. At the cap a caller that says nothing gives its place to the next.
-const CALLERS: usize = 16;
+pub const CALLERS: usize = 16;
 /// Wait for a whole call, in milliseconds.
 const CALL_MS: f64 = 6_000.0;
 /// The longest body of a call; what it says is not looked at.
@@ -37,6 +37,12 @@
         Self { limits, keep, calls: Vec::new() }
     }
 
+    /// Takes fewer callers at once, where descriptors are short.
+    pub fn with_callers(mut self, callers: usize) -> Self {
+        self.limits.connections = callers.min(CALLERS);
+        self
+    }
+
     /// Takes further calls, whose bodies may be as long as `body_bytes`.
     pub fn with_calls(mut self, calls: Calls, body_bytes: usize) -> Self {
         self.calls.push(calls);
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -28,7 +28,9 @@
 pub mod probed;
 pub mod purge_box;
 pub mod registry;
+pub mod running;
 pub mod slow_box;
+pub mod threads;
 pub mod vrrp_peer;
 
 /// The time at which every test begins.
