Lists of a thousand proxies for shared duties and virtual routers; a test at a thousand members

A duty's order has 31 turns, the instances behind claim with the last, so that all turns fit a period; grants still let one alone do it.

Seen to fail with the old bounds: a_thousand_proxies_may_share_duties_and_a_virtual_router (each of the two); without the last turn: a_thousand_instances_claim_within_a_period. Not tried: a thousand processes that share duties.

--- a/src/duties/config.rs
+++ b/src/duties/config.rs
@@ -1,7 +1,7 @@
 //! The operator file of shared duties, `serve --duties FILE`. Without it nothing is probed.
 
 use super::board::Turns;
-use super::plan::Times;
+use super::plan::{Times, LAST_PLACE};
 use super::slots::InstanceId;
 use crate::lifecycle::config::{address, keys_beside, read_json, ConfigError};
 use crate::mac::Keys;
@@ -10,6 +10,9 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+/// The most other instances: as many proxies as an installation may have, several times over.
+pub const PEERS_MOST: usize = 4_096;
+
 /// An instance that takes part.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -124,8 +127,8 @@
                 return Err(("peers", format!("{} at {at} comes twice, or is this instance", peer.id)));
             }
         }
-        if self.peers.len() > 30 {
-            return Err(("peers", format!("{} are more than 30", self.peers.len())));
+        if self.peers.len() > PEERS_MOST {
+            return Err(("peers", format!("{} are more than {PEERS_MOST}", self.peers.len())));
         }
         if let Some(far) = places.iter().find(|at| !at.ip().is_loopback()) {
             return Err(("peers", format!("{far}: it is carried over loopback only")));
@@ -143,7 +146,7 @@
             ("clock_skew_ms", self.clock_skew_ms, 1.0, 3_600_000.0),
             ("period_ms", self.period_ms, 100.0, 3_600_000.0),
             ("probe_ms", self.probe_ms, 10.0, self.period_ms),
-            ("step_ms", self.step_ms, 10.0, self.period_ms / (self.peers.len() as f64 + 2.0)),
+            ("step_ms", self.step_ms, 10.0, self.period_ms / (self.peers.len().min(LAST_PLACE) as f64 + 2.0)),
             ("dead_ms", self.dead_ms, 100.0, 3_600_000.0),
             ("fall", f64::from(self.fall), 1.0, 100.0),
             ("rise", f64::from(self.rise), 1.0, 100.0),
--- a/src/duties/plan.rs
+++ b/src/duties/plan.rs
@@ -56,6 +56,10 @@
     Run(DutyId, Slot),
 }
 
+/// The last place in a duty's order that has a time of its own: instances behind it claim with it, so that all turns fit
+/// into a period however many there are. Grants still make sure that one alone does the duty.
+pub const LAST_PLACE: usize = 30;
+
 /// Times, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Times {
@@ -168,9 +172,9 @@
         self.all.iter().copied().filter(move |id| self.alive(now, *id))
     }
 
-    /// When this instance claims a slot of a duty.
+    /// When this instance claims a slot of a duty. Looks at every living instance.
     fn claims_at(&self, now: f64, duty: DutyId, slot: Slot) -> (f64, usize) {
-        let place = place(duty, self.me, self.living(now));
+        let place = place(duty, self.me, self.living(now)).min(LAST_PLACE);
         (due_ms(duty, slot, self.times.period_ms) + place as f64 * self.times.step_ms, place)
     }
 
@@ -185,8 +189,10 @@
             let slot = slot_at(now, duty, self.times.period_ms);
             let settled = self.settled.get(&duty).is_some_and(|s| *s >= slot);
             let held = self.votes.holder(duty, slot).is_some_and(|who| who != self.me);
-            let (at, place) = self.claims_at(now, duty, slot);
-            if !settled && !held && !self.claims.contains_key(&duty) && now >= at {
+            let open = !settled && !held && !self.claims.contains_key(&duty);
+            // The order is worked out only for what is open: it looks at every instance.
+            let claims_at = open.then(|| self.claims_at(now, duty, slot));
+            if let Some((_, place)) = claims_at.filter(|(at, _)| now >= *at) {
                 self.settled.insert(duty, slot);
                 if !self.votes.ask(now, duty, slot, slot, self.me) {
                     // It has just started, and its own grant counts no more than the others'.
@@ -272,9 +278,12 @@
             let slot = slot_at(now, *duty, self.times.period_ms);
             let open = self.settled.get(duty).is_none_or(|s| *s < slot);
             let held = self.votes.holder(*duty, slot).is_some_and(|who| who != self.me);
-            let here = self.claims_at(now, *duty, slot).0;
             let next = due_ms(*duty, slot + 1, self.times.period_ms);
-            if open && !held && here > now {
+            if !open || held {
+                return next;
+            }
+            let here = self.claims_at(now, *duty, slot).0;
+            if here > now {
                 here.min(next)
             } else {
                 next
--- a/src/duties/plan/tests.rs
+++ b/src/duties/plan/tests.rs
@@ -178,3 +178,30 @@
     let due = (1..).take_while(|slot| due_ms(7, *slot, TIMES.period_ms) < 9_990.0).count();
     assert_eq!(ran, due, "one alone does all, once each period, from the next slot on");
 }
+
+/// A thousand instances: those far down the order claim within the period, and a majority of grants runs the duty once.
+#[test]
+fn a_thousand_instances_claim_within_a_period() {
+    let times = Times { step_ms: 50.0, ..TIMES };
+    let all = 1..=1_024;
+    for me in [1, 512, 1_024] {
+        let mut plan = Plan::new(0.0, me, all.clone(), times);
+        plan.list(0.0, 0..3);
+        let mut claimed = 0;
+        for step in 0..80 {
+            let now = 4_000.0 + f64::from(step) * 50.0;
+            // Everybody else is alive and says nothing of these duties.
+            all.clone().for_each(|id| drop(plan.receive(now, id, &Message::Beat)));
+            for act in plan.tick(now) {
+                let Act::Tell(Message::Claim { duty, slot }) = act else { continue };
+                let late = now - due_ms(duty, slot, times.period_ms);
+                assert!(late <= LAST_PLACE as f64 * times.step_ms + 50.0, "{late} ms late");
+                claimed += 1;
+                let grant = Message::Grant { duty, slot, yes: true };
+                let granted: Vec<Act> = all.clone().flat_map(|id| plan.receive(now, id, &grant)).collect();
+                assert_eq!(granted, [Act::Run(duty, slot)], "once, with the grants of a majority");
+            }
+        }
+        assert!(claimed >= 3, "instance {me} claimed {claimed} slots that nobody else did");
+    }
+}
--- /dev/null
+++ b/tests/size.rs
@@ -0,0 +1,122 @@
+//! Large fleets: lists of a thousand members and of a thousand proxies pass everywhere, and threads and memory follow
+//! what is needed. The last test prints what the process holds: `cargo test --test size -- --nocapture`.
+
+mod stand_ins;
+
+use calicobeam::duties::config::DutiesConfig;
+use calicobeam::vrrp::config::VrrpConfig;
+use stand_ins::running::Running;
+use stand_ins::threads::*;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+/// Members, and proxies, of a large fleet.
+const LARGE: u32 = 1_024;
+/// Members of a small one.
+const SMALL: u32 = 10;
+/// Requests for objects of their own that each fleet gets.
+const REQUESTS: u64 = 2_000;
+/// What the deployment allows one proxy, in kilobytes.
+const MEMORY_KB: u64 = 192 * 1_024;
+
+/// Operator files that name 1,024 other proxies are taken.
+#[test]
+fn a_thousand_proxies_may_share_duties_and_a_virtual_router() {
+    let folder = stand_ins::folder("size");
+    let at = |k: u32| format!("127.0.{}.{}:5100", 1 + k / 250, 1 + k % 250);
+    let peers: Vec<String> =
+        (0..LARGE).map(|k| format!(r#"{{"id":{},"address":"{}"}}"#, k + 2, at(k))).collect();
+    let text = format!(
+        r#"{{"id":1,"listen":"127.0.0.1:1","servers":{{"models":["box"]}},"probe":"connect","step_ms":50,"peers":[{}]}}"#,
+        peers.join(",")
+    );
+    std::fs::write(folder.join("duties.json"), text).unwrap();
+    let duties = DutiesConfig::read(&folder.join("duties.json")).unwrap();
+    assert_eq!(duties.others().len(), LARGE as usize);
+    let peers: Vec<String> = (0..LARGE).map(|k| format!("{:?}", at(k))).collect();
+    let text = format!(
+        r#"{{"listen":"127.0.0.1:5100","peers":[{}],"vrid":7,"priority":100,"addresses":["127.1.0.1"]}}"#,
+        peers.join(",")
+    );
+    std::fs::write(folder.join("vrrp.json"), text).unwrap();
+    VrrpConfig::read(&folder.join("vrrp.json")).unwrap();
+}
+
+/// What the process holds by now: threads, resident kilobytes, descriptors.
+fn held(proxy: &Running) -> (u64, u64, usize) {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.id())).unwrap();
+    let figure = |name: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
+        line.split_whitespace().next().unwrap().parse().unwrap()
+    };
+    let descriptors = std::fs::read_dir(format!("/proc/{}/fd", proxy.id())).unwrap().count();
+    (figure("Threads:"), figure("VmRSS:"), descriptors)
+}
+
+/// Asks for so many objects, one after another, from `first` on; how many were served.
+fn ask(proxy: &Running, first: u64) -> usize {
+    let mut sink = proxy.connect();
+    let mut source = BufReader::new(sink.try_clone().unwrap());
+    let served = |id: u64| {
+        let object = id.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let text = format!(
+            "GET /ops/clip/{object:016x}/slice-0 HTTP/1.1\r\nHost: o\r\nX-Call-Id: {id:016x}\r\nX-Patience-Ms: 1500\r\n\
+             X-Set: {}\r\nX-Heap-Kb: 412.5\r\n\r\n",
+            id % 256
+        );
+        sink.write_all(text.as_bytes()).unwrap();
+        let (mut line, mut length) = (String::new(), 0);
+        source.read_line(&mut line).unwrap();
+        let ok = line.starts_with("HTTP/1.1 200");
+        while line != "\r\n" {
+            line.clear();
+            source.read_line(&mut line).unwrap();
+            length = line.strip_prefix("Content-Length: ").map_or(length, |n| n.trim().parse().unwrap());
+        }
+        source.read_exact(&mut vec![0; length]).unwrap();
+        ok
+    };
+    (first..first + REQUESTS).map(served).filter(|ok| *ok).count()
+}
+
+/// A proxy whose settings tell of 1,024 siblings, served by one member, which the watch replaces by so many at once.
+fn fleet(members: u32, member: SocketAddr) -> (Running, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let text = stand_ins::config(listener.local_addr().unwrap(), &[(0xffff, "box", member)])
+        .replace(r#""listen":"127.0.0.1:1""#, r#""listen":"127.0.0.1:5050""#)
+        .replace(r#""siblings":1"#, &format!(r#""siblings":{LARGE}"#))
+        .replace(r#""seatsByZone":[0,1]"#, &format!(r#""seatsByZone":[{},{}]"#, LARGE / 2, LARGE / 2));
+    let proxy = Running::start_of(&text, &format!("size{members}.json"), 1_024);
+    let (mut stream, _) = link(&listener);
+    let caches = (0..members).flat_map(|k| cache_record(0x1000 + k, member, 0));
+    stream.write_all(&frame(2, 1, &caches.chain(origin_record(0xb0, member)).collect::<Vec<u8>>())).unwrap();
+    (proxy, stream)
+}
+
+/// A whole list of 1,024 members in one event is taken and served from, with settings that tell of 1,024 siblings; the
+/// threads are those of ten members, and the memory stays within what the deployment allows.
+#[test]
+fn a_thousand_members_cost_no_thread_and_little_memory() {
+    let member = Member::start("large");
+    let measure = |members: u32| {
+        let (mut proxy, _watch) = fleet(members, member.address);
+        proxy.signal("-USR1");
+        proxy.until("bulletin_events");
+        let idle = held(&proxy);
+        let served = ask(&proxy, 1);
+        let busy = held(&proxy);
+        proxy.signal("-USR1");
+        let connections: usize =
+            proxy.until("connections ").trim().split(' ').next_back().unwrap().parse().unwrap();
+        println!(
+            "{members} members: idle {idle:?}, after {REQUESTS} requests {busy:?} (threads, resident KB, descriptors); \
+             {served} served over {connections} connections to members"
+        );
+        assert!(served as u64 > REQUESTS * 9 / 10, "{served} served");
+        assert!(busy.1 < MEMORY_KB, "{} KB", busy.1);
+        (idle, busy, connections)
+    };
+    let (small, large) = (measure(SMALL), measure(LARGE));
+    assert_eq!((small.0 .0, small.1 .0), (large.0 .0, large.1 .0), "threads");
+    assert!(large.2 > 10 * small.2 / 2, "many of the thousand were asked: {} connections", large.2);
+}
