A client that left behind a flood before its turn is never sent on

One that waits for its place is not read. When its turn came, one look took in what the machine held of it, and an end behind that was found only after the first attempt was out. has_left now looks until nothing more comes, 64 times at most, so that one that sends for ever is still taken.

--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -13,6 +13,9 @@
 
 /// What is held of a client that goes on sending while its request is open, in bytes.
 pub const AHEAD_MOST: usize = HEAD_MOST;
+/// How often a client that goes on sending is looked at before its request is taken: the machine holds some hundreds of
+/// kilobytes of one that nobody read yet, and a look takes in as many.
+const LOOKS_MOST: u32 = 64;
 /// How long, in milliseconds, what a client still sends after the end is taken in (lingering close).
 const LINGER_MS: f64 = 1_500.0;
 /// How much is read at once while nothing is decoded, in bytes.
@@ -29,6 +32,8 @@
     pipelines: bool,
     /// More came ahead of an answer than is held, and was thrown away.
     overrun: bool,
+    /// Bytes that came ahead of answers, held or thrown away.
+    came_ahead: u64,
 }
 
 impl Link {
@@ -37,7 +42,7 @@
     /// where they do, with the answer to the last request that is held whole.
     pub fn new(stream: TcpStream, codec: HttpCodec, pipelines: bool) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { framed: Framed::new(stream, codec), pipelines, overrun: false }
+        Self { framed: Framed::new(stream, codec), pipelines, overrun: false, came_ahead: 0 }
     }
 
     /// The next request. Cancel safe.
@@ -95,6 +100,7 @@
     /// Holds bytes that came ahead of an answer. After the first that find no room none are held any more, so that
     /// what is held has no gap.
     fn hold(&mut self, bytes: &[u8]) {
+        self.came_ahead += bytes.len() as u64;
         let ahead = self.framed.read_buffer_mut();
         if !self.overrun && ahead.len() + bytes.len() <= AHEAD_MOST {
             ahead.extend_from_slice(bytes);
@@ -107,11 +113,20 @@
     }
 
     /// Whether the client has left by now, as far as the machine has been told: what waited for its place may have
-    /// come from one that is long gone.
+    /// come from one that is long gone. Its end may stand behind more than one look takes in.
     pub async fn has_left(&mut self) -> bool {
-        // What came together with the request is told at the machine's next turn.
-        tokio::task::yield_now().await;
-        self.left().now_or_never().is_some()
+        for _ in 0..LOOKS_MOST {
+            // What came together with the request is told at the machine's next turn.
+            tokio::task::yield_now().await;
+            let before = self.came_ahead;
+            if self.left().now_or_never().is_some() {
+                return true;
+            }
+            if self.came_ahead == before {
+                return false;
+            }
+        }
+        false
     }
 
     /// Writes an answer whole, within `ms` milliseconds.
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -99,6 +99,32 @@
     });
 }
 
+/// A client that waits for its place, sends more behind its request than the machine holds for one that nobody reads, and
+/// closes: its end stands behind all that, and its request is never sent on once its turn comes.
+#[test]
+fn a_client_that_left_behind_a_flood_before_its_turn_is_never_sent_on() {
+    for pipelines in [false, true] {
+        run(async move {
+            let limits = Limits { one_at_a_time: !pipelines, ..limits(1) };
+            let (site, at) = open_with(&format!("before_turn{pipelines}"), limits).await;
+            site.all(silent());
+            let mut first = Client::connect(at).await;
+            first.write(get(1).as_bytes()).await;
+            until(|| site.asked_in_all() == 1).await;
+            // Accepted, and nothing read of it while the only place is taken.
+            let mut second = Blocking::connect(at).unwrap();
+            second.write_all(get(2).as_bytes()).unwrap();
+            flood(&mut second).await;
+            drop(second);
+            until(|| site.host.with(|e| e.counters.clients) == 2).await;
+            drop(first);
+            until(|| site.stop.holds() == 0).await;
+            assert_eq!(site.host.with(|e| (e.counters.left, e.counters.requests)), (2, 1));
+            assert_eq!(site.asked_in_all(), 1);
+        });
+    }
+}
+
 /// A listener that completes no further connection: its queue is full, and a dial to it hangs until it gives up.
 fn hangs() -> (socket2::Socket, Vec<socket2::Socket>, SocketAddr) {
     let tcp = || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
