A test of purges to a thousand targets that hang

It holds the bound of 64 calls at once, which keeps their descriptors from clients and members. Seen to fail without it: 1,040 descriptors were open while 1,024 targets hung.

--- a/tests/purges.rs
+++ b/tests/purges.rs
@@ -5,6 +5,7 @@
 
 use calicobeam::purge::book::Book;
 use calicobeam::purge::config::PurgeConfig;
+use calicobeam::purge::driver::CALLS_MOST;
 use calicobeam::purge::ledger::{Applied, Ledger, LedgerBounds};
 use calicobeam::purge::selector::Tag;
 use calicobeam::purge::wire::{call, from_json, to_json, Batch, Submitted};
@@ -488,3 +489,40 @@
         assert!(String::from_utf8_lossy(&out.stdout).contains("\"seq\":1"), "{out:?}");
     });
 }
+
+/// A thousand targets that take calls and never answer: no more calls are out at once than have descriptors of their own,
+/// all targets get their turn, and clients are served meanwhile.
+#[test]
+fn a_thousand_hanging_targets_leave_descriptors_to_clients_and_members() {
+    const TARGETS: usize = 1_024;
+    // The watch's dials and the second address's calls, which come and go.
+    const PASSING: usize = 8;
+    run(async {
+        let fleet = Fleet::start(47).await;
+        let dir = folder("purges-hanging");
+        let _ = std::fs::remove_file(dir.join("edge-1-state.log"));
+        let hanging = tokio::net::TcpListener::bind("127.0.47.20:0").await.unwrap();
+        let at = hanging.local_addr().unwrap();
+        let targets: Vec<String> =
+            (0..TARGETS).map(|k| format!(r#"{{"name":"t{k}","address":"{at}"}}"#)).collect();
+        let extra = format!(r#","targets":[{}]"#, targets.join(","));
+        let file = leader_file("edge-1", &extra).replace("\"timeout_ms\":2000", "\"timeout_ms\":200");
+        let leader = Proxy::start(&dir, "edge-1", "127.0.47.10", &fleet, &file).await;
+        let descriptors = || {
+            let list = std::fs::read_dir(format!("/proc/{}/fd", leader.child.id())).unwrap();
+            list.count()
+        };
+        let (mut most, mut held, serial) = (0, Vec::new(), Cell::new(0));
+        for calls in 0..3 * CALLS_MOST {
+            // Kept open here: only the proxy ends a call.
+            held.push(hanging.accept().await.unwrap());
+            most = most.max(descriptors());
+            if calls % CALLS_MOST == 0 {
+                assert_eq!(fetch(leader.listen, calls as u64, 17, &serial).await.unwrap().0, 200);
+            }
+        }
+        assert!(most >= CALLS_MOST, "all places are used: {most} descriptors");
+        // Standard streams, the runtime, listeners, the log: fewer than the calls.
+        assert!(most < 2 * CALLS_MOST + PASSING, "{most} descriptors while {TARGETS} targets hang");
+    });
+}
