--- a/deploy/sites/derive.py
+++ b/deploy/sites/derive.py
@@ -5,8 +5,8 @@
 
 For each NAME, `deploy/sites/NAME.toml` says where it starts (`base`, a path below `../given`) and what differs
 (`set`: section, place among the sections of that name, key, value; `drop`: section, place, key). The site goes to
-`deploy/sites/derived/NAME/`, with the `real.json`, `wire.json` and `unlock.txt` that lie beside its base. What is
-derived is never committed.
+`deploy/sites/derived/NAME/`, with the `real.json`, `wire.json` and `unlock.txt` that lie beside its base, or else
+beside the wire file that its base names. What is derived is never committed.
 """
 
 import pathlib
@@ -63,6 +63,17 @@
         lines[at] = f"{change['key']} = {worded(value)}"
 
 
+def beside(base, name):
+    """A file that belongs to a base site: next to it, or next to the wire file that it names."""
+    with open(base, "rb") as file:
+        wire = tomllib.load(file)["wire"]
+    places = [base.parent / name, (base.parent / wire).parent / name]
+    found = next((place for place in places if place.is_file()), None)
+    if found is None:
+        sys.exit(f"derive.py: {name} is neither beside {base} nor beside its wire file")
+    return found
+
+
 def derive(name):
     with open(HERE / f"{name}.toml", "rb") as file:
         wanted = tomllib.load(file)
@@ -71,6 +82,7 @@
         sys.exit(f"derive.py: {base} is not here: sites can be derived only where the operators' kit is laid")
     lines = base.read_text().splitlines()
     apply(lines, {"key": "name"}, name)
+    apply(lines, {"key": "wire"}, "wire.json")
     for change in wanted.get("set", []):
         apply(lines, change, change["value"])
     for change in wanted.get("drop", []):
@@ -83,7 +95,7 @@
     for other in BESIDE:
         target = out / other
         target.unlink(missing_ok=True)
-        shutil.copyfile(base.parent / other, target)
+        shutil.copyfile(beside(base, other), target)
     print(out / f"{name}.toml")
 
 
