--- a/tests/cold_members.rs
+++ b/tests/cold_members.rs
@@ -21,12 +21,6 @@
     rate: f64,
 }
 
-/// A number in (0, 1) of a seed's sequence.
-fn draw(random: &mut u64) -> f64 {
-    *random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-    ((*random >> 11) as f64 + 0.5) / (1u64 << 53) as f64
-}
-
 /// A fleet that asks 1,000 requests a second in all: one router in ten is silent, one in ten gets five times the others'.
 fn fleet_of(routers: u32, seed: u64) -> (Settings, Vec<Seat>) {
     let set = Settings { routers, routers_here: routers / 6, probing: false, ..settings() };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,6 +8,12 @@
 /// A millisecond.
 pub const MS: Micros = 1_000;
 
+/// A number in (0, 1) of a seed's sequence, the same in every run.
+pub fn draw(random: &mut u64) -> f64 {
+    *random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+    ((*random >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
+
 /// A class that may be repeated, without a fresh time.
 pub fn safe() -> Class {
     Class {
--- a/tests/fleet_model/mod.rs
+++ b/tests/fleet_model/mod.rs
@@ -3,7 +3,7 @@
 //! Caches hold what they were filled with and join fills of one object; parents fetch for each fill apart; the origin
 //! is one queue. Clients ask by a skewed choice of objects, write now and then, and try again when they are refused.
 
-use crate::common::{member, settings, MS, S};
+use crate::common::{draw, member, settings, MS, S};
 use calicobeam::*;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -183,13 +183,6 @@
         self.steps.push(Reverse((at, self.order, step)));
     }
 
-    /// A number in (0, 1).
-    fn draw(&mut self) -> f64 {
-        self.random =
-            self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        ((self.random >> 11) as f64 + 0.5) / (1u64 << 53) as f64
-    }
-
     fn take(&mut self, step: Step) {
         match step {
             Step::Arrive => self.arrive(),
@@ -206,14 +199,14 @@
     }
 
     fn arrive(&mut self) {
-        let gap = -self.draw().ln() * S as f64 / self.day.rate as f64;
+        let gap = -draw(&mut self.random).ln() * S as f64 / self.day.rate as f64;
         if self.now < self.day.length {
             self.at(self.now + gap as Micros, Step::Arrive);
         }
-        let router = (self.draw() * f64::from(self.day.routers)) as usize;
-        let class = if self.draw() * (self.day.write_every as f64) < 1.0 { WRITE } else { READ };
+        let router = (draw(&mut self.random) * f64::from(self.day.routers)) as usize;
+        let class = if draw(&mut self.random) * (self.day.write_every as f64) < 1.0 { WRITE } else { READ };
         // Popularity falls about with the rank.
-        let object = OBJECTS.powf(self.draw()) as ObjectId * 7_919;
+        let object = OBJECTS.powf(draw(&mut self.random)) as ObjectId * 7_919;
         self.clients.push(Client { router, class, object, since: self.now, tries: 0, answered: false });
         if self.now >= self.day.slow_at {
             let asked = if class == WRITE { &mut self.result.writes } else { &mut self.result.reads };
