VRRP service tests start the better proxy first: their first election was a race

Cause: both proxies were started at once, and their waits for a first advertisement (800 ms and a skew by priority) differ by 4 ms only, so that on a busy machine the worse one may be active first, and the count of its turns is 1 before any advertisement is lost. Checked: with the second process started 50 ms ahead the test fails each time with the same assertion, (0, 1) against (0, 0), while all other assertions hold. Change: the second proxy is started once the first is active; no assertion is changed, and the counts still begin at the processes' starts.

--- a/tests/vrrp_service.rs
+++ b/tests/vrrp_service.rs
@@ -116,9 +116,12 @@
     let virt = free(&format!("127.1.{net}.1"));
     let routers = [free_udp(&ip), free_udp(&ip)];
     let relay = Relay::start(&format!("127.0.{net}.20"), routers, 11).await;
-    let proxies =
-        [0, 1].map(|k| start(&format!("{name}-{k}"), &fleet, routers[k], relay.sides[k], virt, more[k]));
-    proxies[0].until("active", true).await;
+    let go = |k: usize| start(&format!("{name}-{k}"), &fleet, routers[k], relay.sides[k], virt, more[k]);
+    // One after the other: their waits for a first advertisement differ by the skew of 10 in priority alone, some
+    // milliseconds, so that of two processes started at once either may be active first.
+    let first = go(0);
+    first.until("active", true).await;
+    let proxies = [first, go(1)];
     proxies[1].until("backup", true).await;
     (fleet, relay, proxies, virt)
 }
