Fetches from the origin yield: a parent asked for what it holds, outcomes weighed by their time

A constant part of 0.2 loses half of the reads: what refuses is not the origin's work, but that parents' copies were given up with it.

Change: a request of an object that may not be fetched is still filled from what its parent holds (the protocol's `have-only`, `how` 2), and nothing of it reaches the origin by any path. The part that may be fetched is a TimedShare: each outcome counts for the time since the one before it, so that 4 and 300 routers move it alike; writes, timed apart, count from 0.6 of their aim on; what says nothing takes its time up.

--- a/src/bin/calicobeam-adapter/wire.rs
+++ b/src/bin/calicobeam-adapter/wire.rs
@@ -257,6 +257,12 @@
     },
 }
 
+/// The sum that words the orders for a miss: 1 join a fill under way, 2 the source gives only what it holds, 8 renew an
+/// ageing copy behind.
+fn how(join: bool, only_held: bool, renew: bool) -> u32 {
+    u32::from(join) | u32::from(only_held) << 1 | u32::from(renew) << 3
+}
+
 impl Reply {
     /// The wire's form of an action.
     pub fn from_action(i: u64, action: Action) -> Self {
@@ -265,18 +271,27 @@
             Action::Send { id, to, source: None, timeout, .. } => {
                 Self::Place { i, request_id: hex(id), cache: to, cap_us: timeout }
             }
-            Action::Send { id, to, source: Some(source), join, renew, max_age, keep, timeout, .. } => {
-                Self::LookAndFill {
-                    i,
-                    request_id: hex(id),
-                    cache: to,
-                    source,
-                    how: u32::from(join) | if renew { 8 } else { 0 },
-                    age_span_us: max_age,
-                    retain: keep,
-                    cap_us: timeout,
-                }
-            }
+            Action::Send {
+                id,
+                to,
+                source: Some(source),
+                join,
+                only_held,
+                renew,
+                max_age,
+                keep,
+                timeout,
+                ..
+            } => Self::LookAndFill {
+                i,
+                request_id: hex(id),
+                cache: to,
+                source,
+                how: how(join, only_held, renew),
+                age_span_us: max_age,
+                retain: keep,
+                cap_us: timeout,
+            },
             Action::Refuse { id, wait } => Self::OverloadReply { i, request_id: hex(id), wait_us: wait },
             Action::Fail { id } => Self::ReportFailure { i, request_id: hex(id) },
             Action::Cancel { id, attempt } => Self::Abandon { i, request_id: hex(id), hop: attempt },
--- a/src/engine/attempts.rs
+++ b/src/engine/attempts.rs
@@ -90,6 +90,7 @@
             keep: attempt.keep,
             max_age_ms,
             join: attempt.join,
+            only_held: attempt.only_held,
             renew: attempt.renew,
             cached: ask.cached.clone(),
             group,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -180,7 +180,7 @@
     fn carry_out(&mut self, action: Action) {
         let now = self.clock.now();
         match action {
-            Action::Send { id, to, source, join, renew, max_age, keep, timeout, start_by } => {
+            Action::Send { id, to, source, join, only_held, renew, max_age, keep, timeout, start_by } => {
                 let Some(number) = self.requests.number(id) else { return };
                 self.counters.attempts += 1;
                 let (max_age_ms, due_ms) = (millis(max_age), now + millis(timeout));
@@ -190,8 +190,8 @@
                 let id_text = self.requests.get(id).map(|ask| ask.id_text.clone()).unwrap_or_default();
                 #[rustfmt::skip]
                 let attempt = Attempt {
-                    id_text, to, source, join, renew, max_age_ms, keep, sent_ms, due_ms, start_by_ms, conn, stage,
-                    moves,
+                    id_text, to, source, join, only_held, renew, max_age_ms, keep, sent_ms, due_ms, start_by_ms,
+                    conn, stage, moves,
                 };
                 self.place(now, (id, number), attempt);
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -335,6 +335,8 @@
         source: Option<MemberId>,
         /// Join a fill under way.
         join: bool,
+        /// The source gives only what it holds, and asks nobody for what it lacks.
+        only_held: bool,
         /// Serve an ageing copy and renew it behind.
         renew: bool,
         /// Oldest copy that will do; 0 is the class's fresh time.
--- a/src/memory/attempts.rs
+++ b/src/memory/attempts.rs
@@ -28,6 +28,8 @@
     pub source: Option<MemberId>,
     /// Join a fill under way.
     pub join: bool,
+    /// The source gives only what it holds.
+    pub only_held: bool,
     /// Renew an ageing copy behind.
     pub renew: bool,
     /// Oldest copy that will do, in milliseconds from when it was asked for; 0 for the class's own bound.
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -1,6 +1,6 @@
 //! A request's attempts: their time-outs, which repeats are allowed, the retry budget, and the final answer.
 
-use super::{capacity::CONGESTED, health::MAX_HALF_LIFE, Actions, Attempt, Member, Pending, Router};
+use super::{capacity::CONGESTED, health::MAX_HALF_LIFE, Actions, Attempt, Member, Pending, Reach, Router};
 use crate::interface::*;
 use crate::stats::{DecayingShare, MeanDeviation};
 
@@ -75,8 +75,8 @@
         }
         self.retries.add_up_to(now, MAX_HALF_LIFE, RETRIES_PER_REQUEST, MAX_RETRIES);
         self.counts.add(now, object);
-        let (size_kb, attempts, held_only, done) = (size_kb.max(0.0), Vec::new(), false, false);
-        let req = Pending { class, object, group, part, size_kb, give_up_at, attempts, held_only, done };
+        let (size_kb, attempts, reach, done) = (size_kb.max(0.0), Vec::new(), Reach::Origin, false);
+        let req = Pending { class, object, group, part, size_kb, give_up_at, attempts, reach, done };
         self.requests.insert(id, req);
         self.advance(now, id, None, actions);
     }
@@ -91,13 +91,14 @@
         // Past its aim a request earns little for a whole sending time more: not where others wait for it.
         let since = req.attempts.first().map_or(0, |a| now.saturating_sub(a.sent));
         let too_late = since as f64 > self.aim(req) && self.congestion(now, req.class) > CONGESTED;
-        // A cache that was asked only for what it holds, and lacks it: there was no room for a fill.
+        // It was to be had only where it is held, and is not: there was no room for a fill.
         let not_held = last.is_some_and(|(verdict, _)| verdict == Verdict::Miss);
-        let (full, held_only) = last.map_or_else(|| self.overloaded(now, req), |_| (false, req.held_only));
-        if let Some(req) = self.requests.get_mut(&id) {
-            req.held_only = held_only;
+        let admitted = last.map_or_else(|| self.admit(now, req), |_| Some(req.reach));
+        if let (Some(req), Some(reach)) = (self.requests.get_mut(&id), admitted) {
+            req.reach = reach;
         }
-        let over = left < MIN_TIME_LEFT || saved < cost || !tries || too_late || not_held || full;
+        let refused = not_held || admitted.is_none();
+        let over = left < MIN_TIME_LEFT || saved < cost || !tries || too_late || refused;
         if over || !self.send(now, id, actions) {
             return self.refuse_or_fail(now, id, actions);
         }
@@ -158,8 +159,10 @@
         let again = if self.counts.get(req.object) > 1.0 { RANKS.1 } else { RANKS.0 };
         let keep = if class.uncacheable { 0 } else { again };
         let (join, renew) = (self.set.joins, class.fresh_for > 0 && max_age >= class.fresh_for);
+        let only_held = req.reach == Reach::Parent && source.is_some_and(|s| s != to);
         let start_by = self.repeats_until(req);
-        actions.push(Action::Send { id, to, source, join, renew, max_age, keep, timeout, start_by });
+        let send = Action::Send { id, to, source, join, only_held, renew, max_age, keep, timeout, start_by };
+        actions.push(send);
         self.spend(now, to, mean_work);
         if let Some(source) = source.filter(|s| *s != to) {
             self.spend(now, source, mean_work);
--- a/src/policy/capacity.rs
+++ b/src/policy/capacity.rs
@@ -1,9 +1,9 @@
 //! What members, links and the origin bear: room for transfers, load shedding, and slow start's budgets.
 
 use super::{attempts::QUICK_WAY, health::EVIDENCE_HALF_LIFE, placement::COUNT_SPAN};
-use super::{Member, Pending, Router};
+use super::{Member, Path, Pending, Reach, Router};
 use crate::interface::*;
-use crate::stats::{unit, Aimd};
+use crate::stats::{unit, Pressure};
 
 /// What a room's worth of answers in time at a full cache adds to the room it is taken to have, where
 /// weights don't tell: as much where it is wide, as in TCP, since a share of it would outrun all cuts ...
@@ -20,13 +20,16 @@
 const COLD_BURST: f64 = 0.25;
 /// Transfers that the location's mean weighs in a cache's load, so that few at once don't spill by chance.
 const LOAD_DOUBT: f64 = 1.5;
-/// The part of what no parent takes that may ask the origin: what an answer in time adds, what a failure
-/// leaves, and the least, to see when it is healthy.
-pub(super) const ORIGIN_ROOM: Aimd = Aimd { value: 1.0, step: 0.03, factor: 0.8, min: 0.05, max: 1.0 };
-/// The part of the objects that may be filled: what an answer in time adds, what a late one leaves, and the
-/// least: all routers leave out the same objects for a COUNT_SPAN, so that the others are filled once and
-/// then kept, and the origin goes on doing what only it can.
-pub(super) const FILL_ROOM: Aimd = Aimd { value: 1.0, step: 0.05, factor: 0.9, min: 0.2, max: 1.0 };
+/// How outcomes move the part of the objects that may be fetched from the origin. All routers leave out the
+/// same objects for a COUNT_SPAN, so that the others are filled once and then kept, and come back gradually.
+/// Fills are many, but links and parents make them late, too, and where notes are missing most are hits.
+const FILLS: Pressure = Pressure { up: 0.1, down: 6.0, max_gap: 1.0 };
+/// Writes are rare, but nothing speaks for the origin so well.
+const WRITES: Pressure = Pressure { up: 1.0, down: 2.0, max_gap: 3.0 };
+/// The least part, to see when the origin is healthy.
+const MIN_FILL_ROOM: f64 = 0.03;
+/// Part of its aim past which what runs at the origin shows a queue there, well before it is late.
+const WRITE_SLOW: f64 = 0.6;
 /// Good outcomes that are taken for granted in the share of late answers of a class.
 const CONGESTION_PRIOR: f64 = 3.0;
 /// Share of late answers from which on there is congestion.
@@ -110,26 +113,24 @@
         m.room = size.clamp(m.line.weight, MAX_ROOM * m.line.weight);
     }
 
-    /// Learns from an outcome that was no hit what may be filled and what the origin bears.
-    pub(super) fn on_fill(&mut self, to: MemberId, source: Option<MemberId>, verdict: Verdict, late: bool) {
+    /// Learns from an outcome that was no hit. Guards the origin, and what only it can do: what all routers
+    /// fetch from it falls with what is late.
+    pub(super) fn learn_fill(&mut self, now: Micros, id: RequestId, path: Path, verdict: Verdict, took: f64) {
         use Verdict::{Error, NoConnection, Refused, Served, TimedOut};
-        // Guards the origin and the links: what all routers ask of them falls with what they give too late.
-        if source.is_some() && matches!(verdict, Served | TimedOut) {
-            if late || verdict == TimedOut {
-                self.fill_room.decrease();
-            } else {
-                self.fill_room.increase();
-            }
-        }
-        // Guards the origin against all routers at once: each asks less of it the more of that fails.
-        if self.origin().is_some_and(|o| source == Some(o) || to == o) {
-            if verdict == Served && !late {
-                self.origin_room.increase();
-            } else if matches!(verdict, Refused | TimedOut | Error)
-                || (verdict == NoConnection && Some(to) == self.origin())
-            {
-                self.origin_room.decrease();
+        let Some(req) = self.requests.get(&id) else { return };
+        let (aim, write) = (self.aim(req), self.set.classes[req.class].uncacheable);
+        let known = match self.origin() {
+            Some(origin) if origin == path.0 => {
+                matches!(verdict, Served | TimedOut | Refused | Error | NoConnection)
             }
+            Some(origin) if Some(origin) == path.1 => matches!(verdict, Served | TimedOut | Refused | Error),
+            _ => matches!(verdict, Served | TimedOut),
+        };
+        let good = verdict == Served && took <= if write { WRITE_SLOW * aim } else { aim };
+        if write {
+            self.fill_room.add(now, 1, &WRITES, MIN_FILL_ROOM, known.then_some(good));
+        } else if path.1.is_some() {
+            self.fill_room.add(now, 0, &FILLS, MIN_FILL_ROOM, known.then_some(good));
         }
     }
 
@@ -138,15 +139,15 @@
         self.pace[class].answers.bad_share(now, EVIDENCE_HALF_LIFE, CONGESTION_PRIOR)
     }
 
-    /// Whether a new request is refused, and whether it gets no fill. What earns least for its sending time
-    /// goes first. Under congestion that no cache's own room shows, of links or sources, only fills are shed:
-    /// what a cache holds costs them nothing, and nothing tells what it holds so well as asking for it.
-    pub(super) fn overloaded(&self, now: Micros, req: &Pending) -> (bool, bool) {
+    /// How far a new request may reach, if it is not refused. What earns least for its sending time goes
+    /// first. Under congestion that no cache's own room shows, of links or sources, only fills are shed: what
+    /// a cache holds costs them nothing, and nothing tells what it holds so well as asking for it.
+    pub(super) fn admit(&self, now: Micros, req: &Pending) -> Option<Reach> {
         let class = &self.set.classes[req.class];
         if class.uncacheable {
-            return (false, false);
+            return Some(Reach::Origin);
         }
-        let Some(cache) = self.pick_cache(now, req, 0.0) else { return (false, false) };
+        let Some(cache) = self.pick_cache(now, req, 0.0) else { return Some(Reach::Origin) };
         let kept = || self.set.classes.iter().zip(&self.pace).filter(|(c, _)| !c.uncacheable);
         let mean = kept().map(|(c, p)| c.worth / p.work).sum::<f64>() / kept().count() as f64;
         let sending = self.set.sending_time(req.size_kb).max(QUICK_WAY);
@@ -155,7 +156,13 @@
         let least = if congestion > CONGESTED { SHED_VALUE_CONGESTED } else { SHED_VALUE.0 };
         let bound = LOAD_SHED * (class.worth / own / mean).clamp(least, SHED_VALUE.1);
         let load = self.load(now, cache);
-        let left_out = self.fill_room.value < unit(req.object, now / COUNT_SPAN);
-        (load > bound, left_out || load > bound * (1.0 - LATE_SHED * congestion).max(MIN_SHED))
+        if load > bound {
+            return None;
+        }
+        if load > bound * (1.0 - LATE_SHED * congestion).max(MIN_SHED) {
+            return Some(Reach::Cache);
+        }
+        let left_out = self.fill_room.value() < unit(req.object, now / COUNT_SPAN);
+        Some(if left_out { Reach::Parent } else { Reach::Origin })
     }
 }
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -1,7 +1,7 @@
 //! What outcomes say of each member: evidence that fades, blame for failures, probes, and the share of new
 //! work that health and slow start leave.
 
-use super::{Actions, Member, Router};
+use super::{Actions, Member, Reach, Router};
 use crate::interface::*;
 use crate::stats::{DecayingShare, DecayingSum, LeakyBucket};
 
@@ -117,7 +117,7 @@
     pub(super) fn learn(&mut self, now: Micros, outcome: &Event) {
         let Event::Outcome { id, attempt, verdict, note, took, .. } = *outcome else { return };
         let Some(req) = self.requests.get(&id) else { return };
-        let (class, a) = (req.class, &req.attempts[attempt as usize]);
+        let (class, reach, a) = (req.class, req.reach, &req.attempts[attempt as usize]);
         let (to, source) = (a.to, a.source.filter(|s| *s != a.to));
         let (took, work) = (took as f64, self.set.sending_time(req.size_kb));
         let (late, held_only) = (took > self.aim(req), a.source == Some(to));
@@ -130,8 +130,8 @@
             self.pace[class].learn(verdict, work, took);
         }
         let note = if held_only && verdict == Verdict::Served { Note::Hit } else { note };
-        if note != Note::Hit {
-            self.on_fill(to, source, verdict, late);
+        if note != Note::Hit && reach == Reach::Origin {
+            self.learn_fill(now, id, (to, source), verdict, took);
         }
         let answers = &mut self.pace[class].answers;
         match verdict {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,9 +11,8 @@
 mod placement;
 
 use crate::interface::*;
-use crate::stats::{Aimd, DecayingSum, LeakyBucket, RecentCounts, SeededDraws};
+use crate::stats::{DecayingSum, LeakyBucket, RecentCounts, SeededDraws, TimedShare};
 use attempts::{Pace, INITIAL_RETRIES};
-use capacity::{FILL_ROOM, ORIGIN_ROOM};
 use health::Health;
 use placement::{COUNT_SPAN, MAX_COUNTED};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -60,6 +59,20 @@
     lost: bool,
 }
 
+/// Where an attempt goes, and the source of its fill.
+type Path = (MemberId, Option<MemberId>);
+
+/// Where what a request's cache lacks may come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reach {
+    /// From nowhere: it is served where it is held, else refused.
+    Cache,
+    /// From what its parent holds.
+    Parent,
+    /// From anywhere: its parent asks the origin for what it lacks.
+    Origin,
+}
+
 /// A request that is owed an answer, or whose attempts are still out.
 struct Pending {
     class: usize,
@@ -69,8 +82,7 @@
     size_kb: f64,
     give_up_at: Micros,
     attempts: Vec<Attempt>,
-    /// No fill for it: it is served where it is held, else refused.
-    held_only: bool,
+    reach: Reach,
     /// Nothing more is to be answered or sent; it stays until its attempts' outcomes are in.
     done: bool,
 }
@@ -89,10 +101,8 @@
     counts: RecentCounts,
     pace: Vec<Pace>,
     retries: DecayingSum,
-    /// Part of what no parent takes that may ask the origin; all of it at first.
-    origin_room: Aimd,
-    /// Part of the objects that may be filled; all of them at first.
-    fill_room: Aimd,
+    /// Part of the objects that may be fetched from the origin, by the outcomes of fills and of writes.
+    fill_room: TimedShare<2>,
 }
 
 impl Router {
@@ -108,8 +118,7 @@
             counts: RecentCounts::new(COUNT_SPAN, MAX_COUNTED),
             pace: settings.classes.iter().map(Pace::of).collect(),
             retries: DecayingSum::starting_with(INITIAL_RETRIES),
-            origin_room: ORIGIN_ROOM,
-            fill_room: FILL_ROOM,
+            fill_room: TimedShare::default(),
             set: settings,
         }
     }
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -4,7 +4,7 @@
 //! over all parents gives its home parent, from which every location's caches fill; a hash of the object
 //! picks the location's cache.
 
-use super::{Member, Pending, Router};
+use super::{Member, Path, Pending, Reach, Router};
 use crate::interface::*;
 use crate::stats::{mix, rendezvous_first, rendezvous_order, unit};
 
@@ -77,7 +77,7 @@
 
     /// Where the next attempt goes and what it names as source. Further attempts climb: next cache, next
     /// parent, straight to a parent, the origin.
-    pub(super) fn path(&self, now: Micros, req: &Pending, work: f64) -> Option<(MemberId, Option<MemberId>)> {
+    pub(super) fn path(&self, now: Micros, req: &Pending, work: f64) -> Option<Path> {
         let class = &self.set.classes[req.class];
         let origin = self.origin();
         let tried = req.tried();
@@ -89,16 +89,17 @@
             }
             return self.pick_cache(now, req, work).zip(origin).map(|(c, o)| (c, Some(o)));
         }
-        if req.held_only {
+        if req.reach == Reach::Cache {
             return self.pick_cache(now, req, work).map(|c| (c, Some(c)));
         }
+        // What may not be fetched is not asked of the origin by any path.
+        let fetch = origin.filter(|_| req.reach == Reach::Origin);
         let sources: Vec<MemberId> = req.attempts.iter().filter_map(|a| a.source).collect();
         let avoid = if tried >= 2 { &sources[..] } else { &[] };
         let parent = self.pick_parent(now, req.object, work, avoid);
         if tried < 3 || !self.set.bypass {
             if let Some(cache) = self.pick_cache(now, req, work) {
-                let spare = origin.filter(|_| self.origin_room.value > unit(now ^ req.object, 4));
-                return Some((cache, parent.or(spare).or(Some(cache))));
+                return Some((cache, parent.or(fetch).or(Some(cache))));
             }
         }
         if !self.set.bypass {
@@ -106,7 +107,7 @@
         }
         let direct = |id: &MemberId| !req.attempts.iter().any(|a| a.to == *id);
         let parent = self.pick_parent(now, req.object, work, &[]).filter(direct);
-        let spare = || origin.filter(|o| direct(o) && self.origin_room.value > unit(now ^ req.object, 5));
-        parent.map(|p| (p, Some(origin.unwrap_or(p)))).or_else(|| spare().map(|o| (o, Some(o))))
+        let straight = || fetch.filter(direct).map(|o| (o, Some(o)));
+        parent.map(|p| (p, Some(fetch.unwrap_or(p)))).or_else(straight)
     }
 }
--- a/src/wire/cache_protocol.rs
+++ b/src/wire/cache_protocol.rs
@@ -71,6 +71,8 @@
     pub max_age_ms: u64,
     /// Join a fill under way.
     pub join: bool,
+    /// The source gives only what it holds.
+    pub only_held: bool,
     /// Renew an ageing copy behind.
     pub renew: bool,
     /// Bare tag of the client's copy.
@@ -262,11 +264,10 @@
         if get.max_age_ms > 0 {
             field("agelim", &get.max_age_ms.to_string());
         }
-        match (get.join, get.renew) {
-            (true, true) => field("ways", "ride+update"),
-            (true, false) => field("ways", "ride"),
-            (false, true) => field("ways", "update"),
-            (false, false) => {}
+        let words = [(get.join, "ride"), (get.only_held, "have-only"), (get.renew, "update")];
+        let ways: Vec<&str> = words.iter().filter(|(on, _)| *on).map(|(_, word)| *word).collect();
+        if !ways.is_empty() {
+            field("ways", &ways.join("+"));
         }
         if let Some(tag) = &get.cached {
             field("cached", tag);
--- a/src/wire/cache_protocol/tests.rs
+++ b/src/wire/cache_protocol/tests.rs
@@ -120,10 +120,14 @@
     };
     LineCodec::default().encode(Command::Get(Box::new(get)), &mut out).unwrap();
     LineCodec::default().encode(Command::Drop("9b1f03aa5c7e2d41".into()), &mut out).unwrap();
+    let held =
+        Get { id: "000000000000000a".into(), join: true, only_held: true, wait_ms: 5, ..Get::default() };
+    LineCodec::default().encode(Command::Get(Box::new(held)), &mut out).unwrap();
     assert_eq!(
         &out[..],
         &b"GET 9b1f03aa5c7e2d41 c=segment,k=7f3a9c21e0b4d655,p=3,w=900,next=s-00c41f7a,admit=2,agelim=1500,\
-               ways=ride+update,cached=4be0 0\r\n\r\nDROP 9b1f03aa5c7e2d41\r\n"[..]
+               ways=ride+update,cached=4be0 0\r\n\r\nDROP 9b1f03aa5c7e2d41\r\n\
+               GET 000000000000000a c=,k=,p=0,w=5,ways=ride+have-only 0\r\n\r\n"[..]
     );
 }
 
