--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -141,7 +141,7 @@
     let asked: Vec<Vec<bool>> = fleet.iter_mut().map(|bench| fills(bench, 2 * S)).collect();
     let sum = asked.iter().flatten().filter(|filled| **filled).count();
     assert!(sum < 100 * 200 / 5, "{sum} fills of {} requests", 100 * 200);
-    assert!(sum > 100 * 200 / 100, "some are filled still: {sum}");
+    assert!(sum > 100 * 200 / 50, "some are filled still: {sum}");
     let last = |k: usize| asked.iter().filter(|router| router[k]).count();
     let together = (100..200).filter(|k| last(*k) == 0 || last(*k) == 100).count();
     assert_eq!(together, 100, "all routers leave out the same objects");
