Admission control: types, files and tests are named by the field's term, not door and gate

AdmissionControl, AdmissionBounds, AdmissionConfig, AdmissionFigures, CallAdmission; src/admission/control.rs, src/grpc/admission.rs, tests/admission*.rs, benches/admission.rs, examples/admission_heavy.rs. Local names and prose in other files still say door.

--- a/benches/door_admission.rs
+++ b/benches/admission.rs
@@ -1,8 +1,8 @@
 //! What the door's decision costs, and what it holds, against the number of distinct clients: a door at its
 //! limit takes a stream of arrivals from 1,000 to 100,000 clients, each ended in turn. Run with
-//! `cargo bench --bench door_admission`.
+//! `cargo bench --bench admission`.
 
-use calicobeam::admission::fair::{Arrival, DoorBounds, Ending, FairQueue, Limit, Verdict};
+use calicobeam::admission::fair::{AdmissionBounds, Arrival, Ending, FairQueue, Limit, Verdict};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::time::Instant;
@@ -10,7 +10,7 @@
 const ARRIVALS: u64 = 400_000;
 
 fn main() {
-    let bounds = DoorBounds {
+    let bounds = AdmissionBounds {
         queue_most: 2_048,
         per_client_most: 16,
         per_tenant_most: 512,
--- a/examples/door_heavy.rs
+++ b/examples/admission_heavy.rs
@@ -2,7 +2,7 @@
 //! fleet of 8 slots at 20 ms a request, ten clients at 10 requests a second each, and one client at a hundred
 //! times that. Prints the others' delay (p50, p99) and what the heavy client got, in each of four runs.
 //!
-//!     cargo build --release && cargo run --release --example door_heavy -- [SECONDS]
+//!     cargo build --release && cargo run --release --example admission_heavy -- [SECONDS]
 
 #[path = "../tests/stand_ins/slow_box.rs"]
 mod slow_box;
--- a/src/admission/config.rs
+++ b/src/admission/config.rs
@@ -1,7 +1,7 @@
 //! The operator file of the door, `serve --door FILE`. Without it every request that a front takes goes to the
 //! engine at once, as before.
 
-use super::fair::{ClientKey, DoorBounds, Limit};
+use super::fair::{AdmissionBounds, ClientKey, Limit};
 use crate::lifecycle::config::{read_json, ConfigError};
 use ahash::AHashMap;
 use ipnet::{IpNet, Ipv4Net, Ipv6Net};
@@ -38,7 +38,7 @@
 /// The operator file.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct DoorConfig {
+pub struct AdmissionConfig {
     /// The concurrency limit.
     pub limit: LimitConfig,
     /// Requests queued at most.
@@ -148,7 +148,7 @@
     }
 }
 
-impl DoorConfig {
+impl AdmissionConfig {
     /// Reads and checks the file.
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
         let mut config: Self = read_json(path)?;
@@ -208,8 +208,8 @@
     }
 
     /// The door's bounds.
-    pub fn bounds(&self) -> DoorBounds {
-        DoorBounds {
+    pub fn bounds(&self) -> AdmissionBounds {
+        AdmissionBounds {
             queue_most: self.queue_most,
             per_client_most: self.per_client_most,
             per_tenant_most: self.per_tenant_most,
--- a/src/admission/gate.rs
+++ b/src/admission/control.rs
@@ -1,8 +1,8 @@
 //! What the host holds of the door: the fair queue's decisions, the requests that wait, the operator file, and
 //! the door's metrics in the Prometheus text format (`prometheus-client`), read at the second address.
 
-use super::config::{DoorConfig, Exempt};
-use super::fair::{Arrival, DoorFigures, Ending, FairQueue, Refusal, Verdict};
+use super::config::{AdmissionConfig, Exempt};
+use super::fair::{AdmissionFigures, Arrival, Ending, FairQueue, Refusal, Verdict};
 use crate::memory::requests::{Ask, Final};
 use crate::RequestId;
 use ahash::AHashMap;
@@ -30,7 +30,7 @@
     limit: Gauge<f64, AtomicU64>,
     bytes: Gauge,
     /// The figures as last told to the metrics, so that each scrape adds what came since.
-    told: DoorFigures,
+    told: AdmissionFigures,
 }
 
 impl Metrics {
@@ -69,24 +69,24 @@
         #[rustfmt::skip]
         let metrics = Self {
             registry, admitted, released, refused, left, tickets, honoured, unbooked, expired, depth, open, queued,
-            limit, bytes, told: DoorFigures::default(),
+            limit, bytes, told: AdmissionFigures::default(),
         };
         metrics
     }
 }
 
 /// A door in service.
-pub struct Gate {
+pub struct AdmissionControl {
     queue: FairQueue,
-    config: DoorConfig,
+    config: AdmissionConfig,
     exempt: Exempt,
     waiting: AHashMap<RequestId, Ask>,
     metrics: Metrics,
 }
 
-impl Gate {
+impl AdmissionControl {
     /// A door of an operator file, whose metrics' names begin with `prefix`.
-    pub fn new(config: DoorConfig, prefix: &str) -> Self {
+    pub fn new(config: AdmissionConfig, prefix: &str) -> Self {
         let queue = FairQueue::new(config.bounds(), config.limit(), config.weight, config.weights());
         let exempt = config.exempt();
         Self { queue, config, exempt, waiting: AHashMap::new(), metrics: Metrics::new(prefix) }
@@ -94,7 +94,7 @@
 
     /// Takes the file anew: other weights hold from the next round, and nothing that waits is lost. Bounds and
     /// the limit need a new process.
-    pub fn retune(&mut self, config: DoorConfig) {
+    pub fn retune(&mut self, config: AdmissionConfig) {
         self.queue.reweigh(config.weight, config.weights());
         self.exempt = config.exempt();
         self.config = config;
--- a/src/admission/fair.rs
+++ b/src/admission/fair.rs
@@ -5,7 +5,7 @@
 //! given its weight as quantum per round, and within a tenant its clients in a ring, one request each per turn.
 //! A request costs one; the door's capacity is a number of requests at once (a concurrency limit), not bytes.
 //!
-//! **A reserve for light clients.** A share of the limit ([`DoorBounds::reserve_share`]) is taken only by clients
+//! **A reserve for light clients.** A share of the limit ([`AdmissionBounds::reserve_share`]) is taken only by clients
 //! that have nothing open and nothing waiting, at once as they come: a heavy client's backlog never stands
 //! between a light one and a free place, and the round robin hands out only what lies outside the reserve. A
 //! heavy client alone has the rest of the limit, which an adaptive limit widens.
@@ -16,11 +16,11 @@
 //!
 //! **Memory.** Only clients with queued requests have state, reclaimed when their queue empties; the queue is
 //! bounded in requests and bytes, and the tickets (below) are an LRU of fixed size. A hundred thousand distinct
-//! clients cost no more than the bounds: see [`FairQueue::heap_bytes`] and [`DoorBounds::bytes_bound`].
+//! clients cost no more than the bounds: see [`FairQueue::heap_bytes`] and [`AdmissionBounds::bytes_bound`].
 //!
 //! **Come back.** A request that can't be served in its time is refused at once with the time at which its
 //! client's share will have room. The door books that time: it holds a *ticket* for the client, from a calendar
-//! of 100 ms slots each with room for a share ([`DoorBounds::ticket_share`]) of what the door serves in a slot. A
+//! of 100 ms slots each with room for a share ([`AdmissionBounds::ticket_share`]) of what the door serves in a slot. A
 //! client that comes back with a ticket goes ahead of the queues, so that it is in fact served then. Where no slot
 //! is free within the longest come-back, the longest is told and nothing is promised (counted).
 
@@ -48,7 +48,7 @@
 
 /// The bounds and rates of a door.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct DoorBounds {
+pub struct AdmissionBounds {
     /// Requests queued at most, over all.
     pub queue_most: usize,
     /// Requests queued at most for one client.
@@ -77,7 +77,7 @@
     (n * 8 / 7 + 1).next_power_of_two() * (size + 1)
 }
 
-impl DoorBounds {
+impl AdmissionBounds {
     /// The most bytes that a door with these bounds holds beyond its own size, bodies of queued requests
     /// excluded (those are bounded by `bytes_most`), with at most `open_most` requests admitted at once: what
     /// the operator page states. Every queued request may be of a client and a tenant of its own.
@@ -230,7 +230,7 @@
 
 /// Figures of a door.
 #[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
-pub struct DoorFigures {
+pub struct AdmissionFigures {
     /// Admitted at once.
     pub admitted: u64,
     /// Queued, then admitted.
@@ -252,7 +252,7 @@
 /// The door. See the module's page.
 #[derive(Debug)]
 pub struct FairQueue {
-    bounds: DoorBounds,
+    bounds: AdmissionBounds,
     limit: Limit,
     current: f64,
     cut_at_ms: f64,
@@ -275,12 +275,12 @@
     calendar_from_ms: f64,
     bytes: usize,
     /// Its figures.
-    pub figures: DoorFigures,
+    pub figures: AdmissionFigures,
 }
 
 impl FairQueue {
     /// A door with these bounds and this limit; every tenant weighs `weight` unless `weights` says otherwise.
-    pub fn new(bounds: DoorBounds, limit: Limit, weight: f64, weights: AHashMap<u32, f64>) -> Self {
+    pub fn new(bounds: AdmissionBounds, limit: Limit, weight: f64, weights: AHashMap<u32, f64>) -> Self {
         let tickets = LruCache::new(NonZeroUsize::new(bounds.tickets_most.max(1)).expect("at least one"));
         Self {
             bounds,
@@ -303,7 +303,7 @@
             calendar: VecDeque::new(),
             calendar_from_ms: 0.0,
             bytes: 0,
-            figures: DoorFigures::default(),
+            figures: AdmissionFigures::default(),
         }
     }
 
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -10,5 +10,5 @@
 //! The design note is `docs/design-fair-queues.md`; operators read `docs/fair-queues.md`.
 
 pub mod config;
+pub mod control;
 pub mod fair;
-pub mod gate;
--- a/src/engine/executor.rs
+++ b/src/engine/executor.rs
@@ -2,8 +2,8 @@
 //! protocol: what speaks to members is a [`ConnectionDriver`] that it is given.
 
 use super::{Effect, Engine};
+use crate::admission::control::AdmissionControl;
 use crate::admission::fair::Verdict;
-use crate::admission::gate::Gate;
 use crate::clock::{span, Clock};
 use crate::grpc::calls::Backend;
 use crate::memory::connections::ConnId;
@@ -48,7 +48,7 @@
     waiting: RefCell<HashMap<RequestId, oneshot::Sender<Final>>>,
     due: Notify,
     /// The door's fair queues, where they are on.
-    gate: RefCell<Option<Gate>>,
+    admission: RefCell<Option<AdmissionControl>>,
     figures: RefCell<Vec<Figures>>,
 }
 
@@ -65,14 +65,14 @@
             wakers: RefCell::default(),
             waiting: RefCell::default(),
             due: Notify::new(),
-            gate: RefCell::default(),
+            admission: RefCell::default(),
             figures: RefCell::default(),
         })
     }
 
     /// Puts fair queues at the door: from now on every request goes through them.
-    pub fn set_gate(&self, gate: Gate) {
-        *self.gate.borrow_mut() = Some(gate);
+    pub fn set_admission(&self, admission: AdmissionControl) {
+        *self.admission.borrow_mut() = Some(admission);
     }
 
     /// Adds a subsystem's figures to those that the platform reads.
@@ -81,15 +81,15 @@
     }
 
     /// Lets the door's queues do something, where they are on.
-    pub fn with_gate<R>(&self, act: impl FnOnce(&mut Gate) -> R) -> Option<R> {
-        self.gate.borrow_mut().as_mut().map(act)
+    pub fn with_admission<R>(&self, act: impl FnOnce(&mut AdmissionControl) -> R) -> Option<R> {
+        self.admission.borrow_mut().as_mut().map(act)
     }
 
     /// The figures that the platform reads, with the door's where it is on.
     pub fn figures(self: &Rc<Self>) -> String {
         let engine = self.with(|engine| engine.figures());
         let more: String = self.figures.borrow().iter().map(|figures| figures()).collect();
-        engine + &self.with_gate(Gate::figures).unwrap_or_default() + &more
+        engine + &self.with_admission(AdmissionControl::figures).unwrap_or_default() + &more
     }
 
     /// Lets the engine do something, and carries out what it wants.
@@ -155,7 +155,7 @@
                 }
                 Some(Effect::Answer(id, answer)) => {
                     let now = self.clock.now();
-                    let released = self.with_gate(|gate| gate.ended(now, id, Some(&answer)));
+                    let released = self.with_admission(|admission| admission.ended(now, id, Some(&answer)));
                     self.answer(id, answer);
                     released.into_iter().flatten().for_each(|ask| self.let_in(ask));
                 }
@@ -176,12 +176,12 @@
     pub fn ask(self: &Rc<Self>, ask: Ask) -> Result<oneshot::Receiver<Final>, NotTaken> {
         let (id, (sender, receiver)) = (ask.id, oneshot::channel());
         let now = self.clock.now();
-        let mut gate = self.gate.borrow_mut();
-        let (verdict, ask) = match gate.as_mut() {
-            Some(gate) => gate.arrive(now, ask),
+        let mut admission = self.admission.borrow_mut();
+        let (verdict, ask) = match admission.as_mut() {
+            Some(admission) => admission.arrive(now, ask),
             None => (Verdict::Admit, Some(ask)),
         };
-        drop(gate);
+        drop(admission);
         match (verdict, ask) {
             (Verdict::Duplicate, _) => Err(NotTaken::Duplicate),
             (Verdict::Refuse { come_back_ms, .. }, _) => {
@@ -217,14 +217,14 @@
     /// Tells the door that an admitted request ended without an answer of the engine, and lets in who is next.
     fn release(self: &Rc<Self>, id: RequestId, answer: Option<&Final>) {
         let now = self.clock.now();
-        let released = self.with_gate(|gate| gate.ended(now, id, answer));
+        let released = self.with_admission(|admission| admission.ended(now, id, answer));
         released.into_iter().flatten().for_each(|ask| self.let_in(ask));
     }
 
     /// A client left before its answer. One that waited at the door is forgotten there; nothing was sent.
     pub fn left(self: &Rc<Self>, id: RequestId) {
         self.waiting.borrow_mut().remove(&id);
-        if self.with_gate(|gate| gate.left(id)) == Some(true) {
+        if self.with_admission(|admission| admission.left(id)) == Some(true) {
             return;
         }
         self.with(|engine| engine.left(id));
@@ -233,9 +233,10 @@
     }
 
     /// Refuses, at once, what waited at the door and whose time is over.
-    fn door_tick(self: &Rc<Self>) {
+    fn admission_tick(self: &Rc<Self>) {
         let now = self.clock.now();
-        for (id, come_back_ms) in self.with_gate(|gate| gate.expired(now)).unwrap_or_default() {
+        for (id, come_back_ms) in self.with_admission(|admission| admission.expired(now)).unwrap_or_default()
+        {
             self.answer(id, Final::Refused { wait_ms: come_back_ms, overdue: false });
         }
     }
@@ -257,12 +258,13 @@
     /// Keeps the engine's time: whatever is due is done.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
-            let door = self.with_gate(|gate| gate.next_due()).flatten().unwrap_or(f64::INFINITY);
+            let door =
+                self.with_admission(|admission| admission.next_due()).flatten().unwrap_or(f64::INFINITY);
             let due = self.engine.borrow_mut().next_due().min(door);
             let wait = span(due - self.clock.now());
             tokio::select! {
                 () = tokio::time::sleep(wait) => {
-                    self.door_tick();
+                    self.admission_tick();
                     self.with(Engine::tick);
                 }
                 () = self.due.notified() => {}
--- a/src/grpc/door.rs
+++ b/src/grpc/admission.rs
@@ -3,8 +3,8 @@
 //! the bounds of calls and of streams a client hold them.
 
 use super::calls::Outcome;
+use crate::admission::control::AdmissionControl;
 use crate::admission::fair::Verdict;
-use crate::admission::gate::Gate;
 use crate::memory::requests::{Ask, Final};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -14,8 +14,8 @@
 
 /// The door, and the calls that wait at it.
 #[derive(Default)]
-pub struct CallDoor {
-    gate: RefCell<Option<Gate>>,
+pub struct CallAdmission {
+    admission: RefCell<Option<AdmissionControl>>,
     /// Where a waiting call hears that it is let in (none), or refused with a time to come back.
     waiting: RefCell<HashMap<u64, oneshot::Sender<Option<f64>>>>,
     next: Cell<u64>,
@@ -35,21 +35,21 @@
 
 /// An admitted or waiting call's hold on the door; given back when dropped.
 pub struct Pass {
-    door: Rc<CallDoor>,
+    door: Rc<CallAdmission>,
     id: Option<u64>,
     now: Box<dyn Fn() -> f64>,
     outcome: Cell<Option<Outcome>>,
 }
 
-impl CallDoor {
+impl CallAdmission {
     /// Puts fair queues at the door, or takes their file anew where they are there.
-    pub fn set(&self, gate: Option<Gate>) {
-        *self.gate.borrow_mut() = gate;
+    pub fn set(&self, admission: Option<AdmissionControl>) {
+        *self.admission.borrow_mut() = admission;
     }
 
     /// Lets the queues do something, where they are on.
-    pub fn with<R>(&self, act: impl FnOnce(&mut Gate) -> R) -> Option<R> {
-        self.gate.borrow_mut().as_mut().map(act)
+    pub fn with<R>(&self, act: impl FnOnce(&mut AdmissionControl) -> R) -> Option<R> {
+        self.admission.borrow_mut().as_mut().map(act)
     }
 
     /// A call comes; `give_up_ms` is when its time is over.
@@ -65,7 +65,7 @@
         let ask = Ask { id, group: tenant, give_up_ms, client: Some(client), ..Ask::default() };
         let at = now();
         let pass = |id| Pass { door: self.clone(), id, now: Box::new(now), outcome: Cell::new(None) };
-        match self.with(|gate| gate.arrive(at, ask)) {
+        match self.with(|admission| admission.arrive(at, ask)) {
             None => Entry::In(pass(None)),
             Some((Verdict::Admit, _)) => Entry::In(pass(Some(id))),
             Some((Verdict::Queue, _)) => {
@@ -82,14 +82,14 @@
 
     /// Refuses what waited until its time was nearly over.
     pub fn tick(&self, now: f64) {
-        for (id, come_back_ms) in self.with(|gate| gate.expired(now)).unwrap_or_default() {
+        for (id, come_back_ms) in self.with(|admission| admission.expired(now)).unwrap_or_default() {
             self.tell(id, Some(come_back_ms));
         }
     }
 
     /// When [`Self::tick`] has something to do.
     pub fn next_due(&self) -> f64 {
-        self.with(Gate::next_due).flatten().unwrap_or(f64::INFINITY)
+        self.with(AdmissionControl::next_due).flatten().unwrap_or(f64::INFINITY)
     }
 
     fn tell(&self, id: u64, refused: Option<f64>) {
@@ -112,7 +112,7 @@
         let Some(id) = self.id else { return };
         let (now, door) = ((self.now)(), &self.door);
         if door.waiting.borrow_mut().remove(&id).is_some() {
-            door.with(|gate| gate.left(id));
+            door.with(|admission| admission.left(id));
             return;
         }
         let answer = match self.outcome.get() {
@@ -121,7 +121,7 @@
             Some(Outcome::Failed) => Some(Final::Failed { overdue: false }),
             _ => None,
         };
-        let released = door.with(|gate| gate.ended(now, id, answer.as_ref())).unwrap_or_default();
+        let released = door.with(|admission| admission.ended(now, id, answer.as_ref())).unwrap_or_default();
         released.into_iter().for_each(|ask| door.tell(ask.id, None));
     }
 }
--- a/src/grpc/config.rs
+++ b/src/grpc/config.rs
@@ -3,7 +3,7 @@
 use super::calls::{Backend, Bounds, PoolSpec, BEHIND};
 use super::routes::{Affinity, Kind, Route, Routes};
 use super::status::Code;
-use crate::admission::config::DoorConfig;
+use crate::admission::config::AdmissionConfig;
 use crate::interface::{Class, ColdStart, KeyScope, Repeat, Settings};
 use crate::lifecycle::config::{address, read_json, ConfigError};
 use crate::memory::connections;
@@ -204,7 +204,7 @@
     pub limits: Limits,
     /// Fair queues ahead of unary calls, worded as the door's own file.
     #[serde(default)]
-    pub door: Option<DoorConfig>,
+    pub door: Option<AdmissionConfig>,
     /// The header whose number (0 to 255) is a call's tenant at the door; without it each route is a tenant.
     #[serde(default)]
     pub tenant_header: Option<String>,
--- a/src/grpc/mod.rs
+++ b/src/grpc/mod.rs
@@ -9,7 +9,7 @@
 //! | [`frames`] | messages in a stream of bytes: where one is cut, how many, how long | none |
 //! | [`routes`] | which method goes where, and what it may | none |
 //! | [`calls`] | every call from its head to its one end: attempts, deadlines, what is final | none |
-//! | [`door`] | fair queues ahead of unary calls | none |
+//! | [`admission`] | fair queues ahead of unary calls | none |
 //! | [`config`] | the operator file | a file |
 //! | [`metrics`] | figures in the Prometheus text format | none |
 //! | [`upstream`] | connections to backends | sockets |
@@ -18,9 +18,9 @@
 //!
 //! The design note is `docs/design-grpc.md`; operators read `docs/grpc.md`.
 
+pub mod admission;
 pub mod calls;
 pub mod config;
-pub mod door;
 pub mod frames;
 pub mod metrics;
 pub mod relay;
--- a/src/grpc/relay.rs
+++ b/src/grpc/relay.rs
@@ -1,8 +1,8 @@
 //! One call's bytes, both ways: the client's request to the attempt's backend, the backend's response and its
 //! trailers back, each with the other side's flow control. What is done next is [`super::calls`]' word.
 
+use super::admission::{Entry, Pass};
 use super::calls::{object, Answer, CallId, Directive, NewCall, Outcome, Start};
-use super::door::{Entry, Pass};
 use super::frames::{BadMessage, Tracker};
 use super::routes::Kind;
 use super::server::GrpcFront;
--- a/src/grpc/server.rs
+++ b/src/grpc/server.rs
@@ -1,14 +1,14 @@
 //! Clients' connections: HTTP/2 by the `h2` crate, with prior knowledge (RFC 9113, section 3.3), a task for each
 //! connection and each call. What `h2` finds malformed ends the stream or the connection as RFC 9113 says.
 
+use super::admission::CallAdmission;
 use super::calls::{Backend, Calls};
 use super::config::{GrpcConfig, Limits};
-use super::door::CallDoor;
 use super::metrics::Metrics;
 use super::relay::relay;
 use super::routes::Routes;
 use super::upstream::Upstream;
-use crate::admission::gate::Gate;
+use crate::admission::control::AdmissionControl;
 use crate::clock::span;
 use crate::engine::executor::Executor;
 use crate::wire::client::Stop;
@@ -41,7 +41,7 @@
     limits: Limits,
     metrics: RefCell<Metrics>,
     /// Fair queues ahead of unary calls.
-    pub door: Rc<CallDoor>,
+    pub door: Rc<CallAdmission>,
     /// The backends of each pool as last listed, by the pool's place.
     listed: RefCell<Vec<Vec<Backend>>>,
     roster_seen: Cell<u64>,
@@ -77,7 +77,7 @@
             host,
         });
         let door = front.config.borrow().door.clone();
-        front.door.set(door.map(|door| Gate::new(door, "grpc_door")));
+        front.door.set(door.map(|door| AdmissionControl::new(door, "grpc_door")));
         front.list();
         Ok(front)
     }
@@ -161,7 +161,7 @@
         let (other, unasked) = (self.not_grpc.get(), self.unasked.get());
         let text = text.trim_end().trim_end_matches("# EOF").to_string();
         let own = format!("grpc_not_grpc_total {other}\ngrpc_unrouted_total {unasked}\n# EOF\n");
-        text + &own + &self.door.with(Gate::figures).unwrap_or_default()
+        text + &own + &self.door.with(AdmissionControl::figures).unwrap_or_default()
     }
 
     /// The share of a pool's backends that take calls and that the module does not leave; none for no such pool.
@@ -280,7 +280,7 @@
 }
 
 /// Refuses, at once, what waited at the door and whose time is over.
-pub async fn keep_door(front: Rc<GrpcFront>) {
+pub async fn keep_admission(front: Rc<GrpcFront>) {
     loop {
         let left = front.door.next_due() - front.now();
         tokio::select! {
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -5,8 +5,8 @@
 use super::front::{keep_keys, FrontConfig};
 use super::inherit;
 use super::maintenance::Store;
-use crate::admission::config::DoorConfig;
-use crate::admission::gate::Gate;
+use crate::admission::config::AdmissionConfig;
+use crate::admission::control::AdmissionControl;
 use crate::clock::{span, Clock};
 use crate::duties::config::DutiesConfig;
 use crate::duties::driver::{self as duties_driver, Duties};
@@ -83,7 +83,7 @@
     /// Fleet purges.
     pub purges: Option<PurgeConfig>,
     /// Fair queues at the door.
-    pub door: Option<DoorConfig>,
+    pub door: Option<AdmissionConfig>,
     /// Members from a registry.
     pub registry: Option<RegistryConfig>,
     /// gRPC pass-through.
@@ -184,7 +184,7 @@
     let seed = config.seed().map_err(|why| ServeError::Field("seed", why))?;
     let host = Executor::new(clock, engine, CacheDriver);
     if let Some(door) = door.clone() {
-        host.set_gate(Gate::new(door, "door"));
+        host.set_admission(AdmissionControl::new(door, "door"));
     }
     let await_signal = |kind| signal(kind).map_err(|e| ServeError::System("signals".into(), e));
     let mut terminate = await_signal(SignalKind::terminate())?;
@@ -348,7 +348,7 @@
         });
         always(&host, "gRPC's door", {
             let front = front.clone();
-            move || grpc::keep_door(front.clone())
+            move || grpc::keep_admission(front.clone())
         });
         host.spawn("the stop of calls", grpc::cut_at_stop(front.clone(), stop.clone()));
         tracing::info!(%listen, "gRPC calls are passed through");
@@ -377,7 +377,7 @@
                 reload.notify_one();
                 read_again(&host, &config, &bulletin);
                 if let Some(door) = &door {
-                    read_door_again(&host, door);
+                    read_admission_again(&host, door);
                 }
                 if let Some(config) = &rules_config {
                     match RulesConfig::read(&config.path) {
@@ -553,10 +553,10 @@
 }
 
 /// Reads the door's file again: other weights hold from the next round; a file that can't be used changes nothing.
-pub fn read_door_again(host: &Rc<Executor>, door: &DoorConfig) {
+pub fn read_admission_again(host: &Rc<Executor>, door: &AdmissionConfig) {
     match door.again() {
         Ok(fresh) => {
-            host.with_gate(|gate| gate.retune(fresh));
+            host.with_admission(|gate| gate.retune(fresh));
             tracing::info!(file = %door.path.display(), "the door's file read again");
         }
         Err(why) => tracing::warn!(%why, "the door's old file stays"),
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,7 @@
 //! The edge proxy's command line.
 
 use argh::FromArgs;
-use calicobeam::admission::config::DoorConfig;
+use calicobeam::admission::config::AdmissionConfig;
 use calicobeam::duties::config::DutiesConfig;
 use calicobeam::grpc::config::GrpcConfig;
 use calicobeam::lifecycle::config::Config;
@@ -269,8 +269,8 @@
     path.map(|path| RulesConfig::read(&path).map_err(|e| e.to_string())).transpose()
 }
 
-fn read_door(path: Option<PathBuf>) -> Result<Option<DoorConfig>, String> {
-    path.map(|path| DoorConfig::read(&path).map_err(|e| e.to_string())).transpose()
+fn read_admission(path: Option<PathBuf>) -> Result<Option<AdmissionConfig>, String> {
+    path.map(|path| AdmissionConfig::read(&path).map_err(|e| e.to_string())).transpose()
 }
 
 fn read_purges(path: Option<PathBuf>) -> Result<Option<PurgeConfig>, String> {
@@ -352,7 +352,7 @@
             read_front(check.front, &config)?;
             read_vrrp(check.vrrp)?;
             read_purges(check.purges)?;
-            read_door(check.door)?;
+            read_admission(check.door)?;
             read_registry(check.registry)?;
             read_grpc(check.grpc)?;
             read_poor(check.poor)?;
@@ -367,7 +367,7 @@
             let front = read_front(arguments.front, &config)?;
             let router = read_vrrp(arguments.vrrp)?;
             let purges = read_purges(arguments.purges)?;
-            let door = read_door(arguments.door)?;
+            let door = read_admission(arguments.door)?;
             let registry = read_registry(arguments.registry)?;
             let grpc = read_grpc(arguments.grpc)?;
             let poor = read_poor(arguments.poor)?;
--- a/tests/door.rs
+++ b/tests/admission.rs
@@ -1,11 +1,11 @@
 //! The door's decisions, on a clock that the test sets: shares, bounds, come-back times that hold, and what a
 //! client that leaves leaves behind.
 
-use calicobeam::admission::fair::{Arrival, DoorBounds, Ending, FairQueue, Limit, Refusal, Verdict};
+use calicobeam::admission::fair::{AdmissionBounds, Arrival, Ending, FairQueue, Limit, Refusal, Verdict};
 use std::collections::HashMap;
 
-fn bounds() -> DoorBounds {
-    DoorBounds {
+fn bounds() -> AdmissionBounds {
+    AdmissionBounds {
         queue_most: 256,
         per_client_most: 8,
         per_tenant_most: 128,
@@ -187,7 +187,7 @@
 fn a_light_client_takes_the_reserve_at_once_beside_a_heavy_backlog() {
     let limit = Limit { first: 4.0, least: 1.0, most: 4.0, adaptive: false };
     let mut door =
-        FairQueue::new(DoorBounds { reserve_share: 0.25, ..bounds() }, limit, 1.0, Default::default());
+        FairQueue::new(AdmissionBounds { reserve_share: 0.25, ..bounds() }, limit, 1.0, Default::default());
     let now = 1_000.0;
     let verdicts: Vec<Verdict> = (1..=8).map(|id| door.arrive(now, arrival(id, 1, 0, now))).collect();
     assert_eq!(
--- a/tests/door_loopback.rs
+++ b/tests/admission_loopback.rs
@@ -235,7 +235,7 @@
         );
         let heavy_served = heavy_got.borrow().iter().filter(|g| g.status == 200).count();
         println!("others alone {base:.1} ms, beside the heavy client {with:.1} ms; heavy served {heavy_served} of {}", heavy_got.borrow().len());
-        // A fifth of the delay is 5 ms, which a busy machine adds by itself: `examples/door_heavy.rs` measures that. Here
+        // A fifth of the delay is 5 ms, which a busy machine adds by itself: `examples/admission_heavy.rs` measures that. Here
         // it is told from a door that does not hold, whose others wait behind a queue of a second and more.
         assert!(
             with <= (1.2 * base).max(base + 60.0),
