Module: peers are compared for what was late only, not on every outcome

The rule of members that stand out ranked all members of two roles on each outcome that was no hit, also on good ones, for which its result is not used. Found on reading the change. It is asked for now only where an outcome would cut; the same decisions. Tests of policy, limits, large_fleet, origin_overload, adapter and properties passed; no cost was measured.

--- a/src/policy/capacity.rs
+++ b/src/policy/capacity.rs
@@ -128,8 +128,8 @@
         };
         let good = verdict == Served && took <= if write { WRITE_SLOW * aim } else { aim };
         // A member that does worse than its best peer tells of itself, not of what is behind all of them.
-        let own_fault = [Some(path.0), path.1].into_iter().flatten().any(|m| self.stands_out(now, m));
-        let known = known && (good || !own_fault);
+        let own_fault = || [Some(path.0), path.1].into_iter().flatten().any(|m| self.stands_out(now, m));
+        let known = known && (good || !own_fault());
         if write {
             self.fill_room.add(now, 1, &WRITES, MIN_FILL_ROOM, known.then_some(good));
         } else if path.1.is_some() {
