--- a/src/cli/purge.rs
+++ b/src/cli/purge.rs
@@ -3,7 +3,7 @@
 use super::admin_call::{print_get, print_response};
 use super::error::CliError;
 use argh::FromArgs;
-use edge_proxy::purge::log::{decode, DecodedLog, InvalidRecord, MAGIC};
+use edge_proxy::purge::log_record::{decode, DecodedLog, InvalidRecord, MAGIC};
 use edge_proxy::purge::selector::Selector;
 use edge_proxy::purge::wire::{to_json, SubmitRequest};
 use std::net::SocketAddr;
--- a/src/purge/follower.rs
+++ b/src/purge/follower.rs
@@ -3,7 +3,8 @@
 use super::active_purges::{ActivePurges, Purge, PurgeStamp};
 use super::config::{PurgeConfig, Role};
 use super::journal::{Durability, Journal};
-use super::log::{LogError, Record};
+use super::log::LogError;
+use super::log_record::Record;
 use super::metrics::ReplicaStatus;
 use super::recovery::Recovered;
 use super::wire::{Batch, PurgeList};
--- a/src/purge/journal.rs
+++ b/src/purge/journal.rs
@@ -3,7 +3,8 @@
 
 use super::active_purges::{ActivePurges, Purge, PurgeStamp};
 use super::config::{PurgeConfig, Role};
-use super::log::{LogError, PurgeLog, Record, Snapshot, TruncatedTail};
+use super::log::{LogError, PurgeLog, TruncatedTail};
+use super::log_record::{Record, Snapshot};
 use super::metrics::{LogFile, PurgeMetrics, ReplicaStatus};
 use std::collections::BTreeMap;
 
--- a/src/purge/mod.rs
+++ b/src/purge/mod.rs
@@ -8,7 +8,8 @@
 //! | [`active_purges`], `index` | the active purges, their retention, lookup by copy | none |
 //! | [`age_limit`] | the age limit of attempts and the check of replies | none |
 //! | [`fanout`] | replication: batches, acknowledgements, retries, low-water mark | none |
-//! | [`log`] | the append-only log with checksums | a file |
+//! | [`log_record`] | the records of the log and their encoding | none |
+//! | [`log`] | the append-only log | a file |
 //! | [`leader`], [`follower`], [`replica`] | issuing, applying and acknowledging purges | the log |
 //! | `journal`, `recovery` | the log with its sequence numbers, and recovery from it at startup | the log |
 //! | [`wire`] | the JSON bodies of the HTTP calls | none |
@@ -28,6 +29,7 @@
 mod journal;
 pub mod leader;
 pub mod log;
+pub mod log_record;
 pub mod metrics;
 mod recovery;
 pub mod replica;
--- a/src/purge/recovery.rs
+++ b/src/purge/recovery.rs
@@ -8,7 +8,8 @@
 use super::active_purges::{ActivePurges, Purge, PurgeStamp};
 use super::config::{PurgeConfig, Role};
 use super::journal::{Durability, Journal};
-use super::log::{LogError, OpenedLog, PurgeLog, Record, Snapshot, MIN_PURGE_RECORD_BYTES};
+use super::log::{LogError, OpenedLog, PurgeLog};
+use super::log_record::{Record, Snapshot, MIN_PURGE_RECORD_BYTES};
 use std::collections::BTreeMap;
 
 /// The recovered state.
--- a/tests/purges.rs
+++ b/tests/purges.rs
@@ -4,206 +4,22 @@
 mod stand_ins;
 
 use edge_proxy::http_client::call;
-use edge_proxy::purge::active_purges::{ActivePurges, ApplyOutcome, Purge, RetentionLimits};
-use edge_proxy::purge::config::PurgeConfig;
+use edge_proxy::purge::active_purges::{ActivePurges, Purge, RetentionLimits};
 use edge_proxy::purge::leader::Leader;
 use edge_proxy::purge::service::MAX_CONCURRENT_CALLS;
-use edge_proxy::purge::wire::{from_json, to_json, Batch, SubmitResponse};
+use edge_proxy::purge::wire::{to_json, Batch};
 use edge_proxy::surrogate_key::SurrogateKey;
 use simd_json::prelude::*;
-use stand_ins::purge_target::{now_ms, Origin, PurgeTarget};
+use stand_ins::purge_fleet::{
+    get_json, leader_config, read_object, submit, wait_until, Fleet, Proxy, PROGRAM,
+};
+use stand_ins::purge_leader::{create_purge_config, replicate};
+use stand_ins::purge_target::{now_ms, PurgeTarget};
 use stand_ins::{run, test_dir};
 use std::cell::Cell;
-use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::rc::Rc;
+use std::net::SocketAddr;
+use std::process::Command;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-
-const PROGRAM: &str = env!("CARGO_BIN_EXE_edge-proxy");
-
-/// Waits until a condition holds; panics after `seconds`.
-async fn wait_until(seconds: u64, description: &str, condition: impl Fn() -> bool) {
-    let end = tokio::time::Instant::now() + Duration::from_secs(seconds);
-    while !condition() {
-        assert!(tokio::time::Instant::now() < end, "timed out after {seconds} s: {description}");
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-}
-
-fn free_port(ip: &str) -> u16 {
-    TcpListener::bind(format!("{ip}:0")).unwrap().local_addr().unwrap().port()
-}
-
-/// Two caches, a parent and an origin, each at its own IP address, with their purge listeners on the same
-/// port.
-struct Fleet {
-    servers: Vec<PurgeTarget>,
-    origin: Rc<Origin>,
-    purge_port: u16,
-}
-
-impl Fleet {
-    async fn start(subnet: u8) -> Self {
-        let origin = Rc::new(Origin::default());
-        let purge_port = free_port(&format!("127.0.{subnet}.1"));
-        let mut servers = Vec::new();
-        for (k, name) in ["s-000000c1", "s-000000c2", "s-000000a0", "s-000000b0"].iter().enumerate() {
-            servers.push(
-                PurgeTarget::start(name, &format!("127.0.{subnet}.{}", k + 1), purge_port, origin.clone())
-                    .await,
-            );
-        }
-        servers[3].always_generates.set(true);
-        Self { servers, origin, purge_port }
-    }
-
-    /// The servers that cache copies: the caches and the parent.
-    fn caches(&self) -> &[PurgeTarget] {
-        &self.servers[..3]
-    }
-
-    /// Gives an object a surrogate key.
-    fn tag(&self, object: u64, key: &str) {
-        let keys = vec![SurrogateKey::new(key).unwrap()];
-        self.origin.surrogate_keys.borrow_mut().insert(object, keys);
-    }
-
-    /// A proxy's configuration: the example file with the addresses of this fleet.
-    fn config(&self, listen: SocketAddr, admin: SocketAddr) -> String {
-        let mut text =
-            std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/config.json")).unwrap();
-        for (k, port) in (7101..=7104).enumerate() {
-            text = text.replace(&format!("127.0.0.1:{port}"), &self.servers[k].cache_address.to_string());
-        }
-        let listen = format!("\"listen\": \"{listen}\",\n  \"mgmt\": \"{admin}\",");
-        text.replace("\"listen\": \"127.0.0.1:5050\",", &listen)
-    }
-}
-
-/// A proxy process with fleet purges.
-struct Proxy {
-    child: Child,
-    listen: SocketAddr,
-    admin: SocketAddr,
-    config_path: PathBuf,
-    purge_config_path: PathBuf,
-    stderr_path: PathBuf,
-}
-
-impl Proxy {
-    async fn start(dir: &Path, name: &str, ip: &str, fleet: &Fleet, purge_config: &str) -> Self {
-        let listen: SocketAddr = format!("{ip}:{}", free_port(ip)).parse().unwrap();
-        let admin: SocketAddr = format!("{ip}:{}", free_port(ip)).parse().unwrap();
-        let config_path = dir.join(format!("{name}.json"));
-        std::fs::write(&config_path, fleet.config(listen, admin)).unwrap();
-        let purge_config_path = dir.join(format!("{name}-purges.json"));
-        std::fs::write(&purge_config_path, purge_config).unwrap();
-        let stderr_path = dir.join(format!("{name}.log"));
-        let _ = std::fs::remove_file(&stderr_path);
-        let child = Self::spawn(&config_path, &purge_config_path, &stderr_path);
-        let mut proxy = Self { child, listen, admin, config_path, purge_config_path, stderr_path };
-        proxy.wait_until_ready().await;
-        proxy
-    }
-
-    fn spawn(config_path: &Path, purge_config_path: &Path, stderr_path: &Path) -> Child {
-        let stderr = std::fs::OpenOptions::new().create(true).append(true).open(stderr_path).unwrap();
-        Command::new(PROGRAM)
-            .args([
-                "serve",
-                "--config",
-                config_path.to_str().unwrap(),
-                "--purges",
-                purge_config_path.to_str().unwrap(),
-            ])
-            .env_remove("NODE_CONFIG")
-            .env("EDGE_PROXY_LOG", "info")
-            .stderr(Stdio::from(stderr))
-            .spawn()
-            .unwrap()
-    }
-
-    async fn wait_until_ready(&mut self) {
-        for _ in 0..500 {
-            if get_json(self.admin, "/purges").await.is_some() {
-                return;
-            }
-            assert!(
-                self.child.try_wait().unwrap().is_none(),
-                "{}",
-                std::fs::read_to_string(&self.stderr_path).unwrap()
-            );
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-        panic!("the proxy did not become ready");
-    }
-
-    /// Kills the process with SIGKILL and restarts it with the same files.
-    async fn kill_and_restart(&mut self) {
-        self.child.kill().unwrap();
-        self.child.wait().unwrap();
-        self.child = Self::spawn(&self.config_path, &self.purge_config_path, &self.stderr_path);
-        self.wait_until_ready().await;
-    }
-}
-
-impl Drop for Proxy {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let log = std::fs::read_to_string(&self.stderr_path).unwrap_or_default();
-        if !std::thread::panicking() {
-            assert!(!log.contains("panicked"), "the proxy panicked: {log}");
-        }
-    }
-}
-
-async fn get_json(admin: SocketAddr, target: &str) -> Option<simd_json::OwnedValue> {
-    let answer = call(admin, "GET", target, b"", Duration::from_secs(2)).await.ok()?;
-    let mut body = answer.body;
-    (answer.status == 200).then(|| simd_json::to_owned_value(&mut body).ok())?
-}
-
-async fn submit(admin: SocketAddr, selector: &str) -> Result<SubmitResponse, (u16, String)> {
-    let body = format!("{{\"sel\":\"{selector}\"}}");
-    let answer = call(admin, "POST", "/purges", body.as_bytes(), Duration::from_secs(2)).await.unwrap();
-    match answer.status {
-        200 => Ok(from_json(&answer.body).unwrap()),
-        status => Err((status, String::from_utf8_lossy(&answer.body).to_string())),
-    }
-}
-
-fn leader_config(name: &str, extra_fields: &str) -> String {
-    format!(
-        "{{\"role\":\"leader\",\"name\":\"{name}\",\"state\":\"{name}-state.log\",\"batch_most\":2,\
-         \"heartbeat_ms\":100,\"timeout_ms\":2000,\"backoff\":{{\"first_ms\":50,\"factor\":2,\"most_ms\":400,\"jitter\":0.1}}{extra_fields}}}"
-    )
-}
-
-/// Reads an object through the proxy. Returns the status, and the generation time of the copy from the body.
-async fn read_object(
-    listen: SocketAddr,
-    object: u64,
-    group: u32,
-    last_call_id: &Cell<u64>,
-) -> Option<(u16, Option<f64>)> {
-    last_call_id.set(last_call_id.get() + 1);
-    let mut stream = tokio::net::TcpStream::connect(listen).await.ok()?;
-    let request = format!(
-        "GET /ops/small-object/{object:016x} HTTP/1.1\r\nHost: t\r\nX-Call-Id: {:016x}\r\nX-Patience-Ms: 2500\r\n\
-         X-Set: {group}\r\nConnection: close\r\n\r\n",
-        last_call_id.get()
-    );
-    stream.write_all(request.as_bytes()).await.ok()?;
-    let mut answer = Vec::new();
-    tokio::time::timeout(Duration::from_secs(4), stream.read_to_end(&mut answer)).await.ok()?.ok()?;
-    let text = String::from_utf8_lossy(&answer).to_string();
-    let status = text.get(9..12)?.parse().ok()?;
-    let generated_ms = text.split("generated_ms=").nth(1).and_then(|value| value.trim().parse().ok());
-    Some((status, generated_ms))
-}
 
 #[test]
 fn a_leader_killed_during_replication_resumes_without_gaps_or_reused_sequence_numbers() {
@@ -424,28 +240,6 @@
     });
 }
 
-fn create_purge_config(dir: &Path, role: &str, targets: &str) -> PurgeConfig {
-    let path = dir.join(format!("{role}.json"));
-    let text = format!(
-        "{{\"role\":\"{role}\",\"name\":\"edge-1\",\"state\":\"{role}.log\",\"targets\":[{targets}]}}"
-    );
-    std::fs::write(&path, text).unwrap();
-    PurgeConfig::read(&path).unwrap()
-}
-
-/// Sends the due batches to a target, which applies and acknowledges them.
-fn replicate(leader: &mut Leader, active: &mut ActivePurges, target: &mut ActivePurges, now: f64) {
-    for outgoing in leader.take_due_batches(now) {
-        if let Some(cutoff) = outgoing.batch.cutoff.filter(|cutoff| cutoff.seq >= target.last_applied()) {
-            target.apply_cutoff(cutoff);
-        }
-        for purge in &outgoing.batch.purges {
-            assert_ne!(target.apply(purge), ApplyOutcome::Gap { expected: target.last_applied() + 1 });
-        }
-        leader.acknowledge(&outgoing.target, target.last_applied(), active, now).unwrap();
-    }
-}
-
 #[test]
 fn a_torn_or_corrupt_log_keeps_its_valid_prefix_and_reuses_no_sequence_number() {
     let dir = test_dir("purges-log");
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -29,6 +29,8 @@
 pub mod checked_endpoint;
 pub mod grpc;
 pub mod http3_client;
+pub mod purge_fleet;
+pub mod purge_leader;
 pub mod purge_target;
 pub mod registry;
 pub mod running;
