--- a/src/purge/leader.rs
+++ b/src/purge/leader.rs
@@ -234,7 +234,7 @@
         self.fanout.record_failure(target, now_ms);
         self.journal.metrics.failures += 1;
         let failures = self.fanout.targets().get(target).map_or(0, |state| state.failures);
-        if failures == 1 || failures % FAILURES_PER_WARNING == 0 {
+        if failures == 1 || failures.is_multiple_of(FAILURES_PER_WARNING) {
             tracing::warn!(target, failures, %error, "purges: sending to a target failed; retrying with backoff");
         }
     }
--- a/src/vrrp/machine/tests.rs
+++ b/src/vrrp/machine/tests.rs
@@ -68,7 +68,7 @@
     let mut now = 0.0;
     while machine.tick(now).is_none() {
         now += 100.0;
-        if (now as u64) % 1_000 == 0 {
+        if (now as u64).is_multiple_of(1_000) {
             machine.receive(now, router_address(2), &advertisement(100));
         }
         assert!(now < 20_000.0, "no takeover by {now} ms");
@@ -92,8 +92,8 @@
         now += 100.0;
         let previous = machine.state();
         machine.tick(now);
-        if (now as u64) % 1_000 == 0 {
-            let priority = if (now as u64 / 5_000) % 2 == 0 { 250 } else { 10 };
+        if (now as u64).is_multiple_of(1_000) {
+            let priority = if (now as u64 / 5_000).is_multiple_of(2) { 250 } else { 10 };
             machine.receive(now, router_address(2), &advertisement(priority));
         }
         transitions += u32::from(machine.state() != previous);
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -106,7 +106,7 @@
                 self.last_request_id += 1;
                 let deadline_ms = self.clock.now() + 100.0 + f64::from(b % 1_400);
                 let id_text = format!("{:016x}", self.last_request_id);
-                let class = usize::from(b % 3 == 0);
+                let class = usize::from(b.is_multiple_of(3));
                 let request = IncomingRequest {
                     class,
                     id: self.last_request_id,
@@ -136,13 +136,13 @@
                 if let Some((conn, connection)) =
                     conn.and_then(|conn| self.connections.get_mut(&conn).map(|connection| (conn, connection)))
                 {
-                    if !connection.established && b % 4 == 0 {
+                    if !connection.established && b.is_multiple_of(4) {
                         self.connections.remove(&conn);
                         self.engine.connection_failed(conn, false);
                     } else if !connection.established {
                         connection.established = true;
                         self.engine.connection_established(conn);
-                    } else if b % 8 == 0 {
+                    } else if b.is_multiple_of(8) {
                         self.connections.remove(&conn);
                         self.engine.connection_lost(conn);
                     }
@@ -195,7 +195,7 @@
             ReplyStatus::Error,
             ReplyStatus::Expired,
         ];
-        let late = random % 5 == 0 && !connection.cancelled.is_empty();
+        let late = random.is_multiple_of(5) && !connection.cancelled.is_empty();
         let candidates = if late { &mut connection.cancelled } else { &mut connection.in_flight };
         let Some(id) = candidates.iter().nth(usize::from(random) % candidates.len().max(1)).copied() else {
             return;
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -292,7 +292,7 @@
     let policy = PolicySettings { reports_cache_status: false, ..settings() };
     let mut harness = Harness::new(policy, endpoints());
     let failing = |a: &SentAttempt| {
-        if a.source == Some(12) && a.id % 3 == 0 {
+        if a.source == Some(12) && a.id.is_multiple_of(3) {
             AttemptOutcome::Rejected
         } else {
             AttemptOutcome::Served
@@ -851,7 +851,7 @@
         let (mut actions, mut attempt) = (harness.request(0, object), 0);
         while let Some(next) = sent_attempts(&actions).first().cloned() {
             let (id, cache_status) = (next.id, CacheStatus::Unknown);
-            let failing = next.to == 1 && object % 8 != 0;
+            let failing = next.to == 1 && !object.is_multiple_of(8);
             let (outcome, elapsed) =
                 if failing { (AttemptOutcome::Error, 2 * MS) } else { (AttemptOutcome::Served, 150 * MS) };
             actions = harness.handle(Event::AttemptEnded {
--- a/tests/stand_ins/vrrp_peer.rs
+++ b/tests/stand_ins/vrrp_peer.rs
@@ -146,7 +146,7 @@
                 let mut sequence = 0u64;
                 while !stop.get() {
                     sequence += 1;
-                    let (id, is_write) = ((client + 1) << 32 | sequence, sequence % 3 == 0);
+                    let (id, is_write) = ((client + 1) << 32 | sequence, sequence.is_multiple_of(3));
                     let outcome = send_request(virtual_address, id, is_write, timeout).await;
                     outcomes.borrow_mut().push((id, is_write, outcome));
                     tokio::time::sleep(Duration::from_millis(5)).await;
