--- a/src/purge/fanout.rs
+++ b/src/purge/fanout.rs
@@ -118,6 +118,9 @@
     pub next_due_ms: f64,
     /// Purges sent to it, including repeats.
     pub sent: u64,
+    /// The latest acknowledgement to another process of this proxy since the batch in flight was sent.
+    #[serde(skip)]
+    acknowledged_elsewhere: u64,
     #[serde(skip)]
     in_flight: Option<InFlight>,
     #[serde(skip)]
@@ -135,6 +138,7 @@
             last_acknowledged_ms: None,
             next_due_ms: now_ms,
             sent: 0,
+            acknowledged_elsewhere: 0,
             in_flight: None,
             retry_delay: backoff.start(),
             last_sent_ms: f64::NEG_INFINITY,
@@ -213,9 +217,22 @@
         }
     }
 
+    /// Records a target's acknowledgement to another process of this proxy, so that the target does not get a
+    /// cutoff in place of purges that it has applied. While a batch is in flight, its answer comes first: the
+    /// target may have lost its state.
+    pub fn merge_acknowledgement(&mut self, target: &str, acknowledged: u64) {
+        let Some(target) = self.targets.get_mut(target) else { return };
+        let acknowledged = acknowledged.min(self.retained.last);
+        match target.in_flight {
+            Some(_) => target.acknowledged_elsewhere = acknowledged,
+            None => target.acknowledged = target.acknowledged.max(acknowledged),
+        }
+    }
+
     /// The acknowledgements by target, including those restored for targets that are not listed yet.
     pub fn acknowledgements(&self) -> BTreeMap<String, u64> {
-        let listed = self.targets.iter().map(|(name, target)| (name.clone(), target.acknowledged));
+        let acknowledged = |target: &TargetProgress| target.acknowledged.max(target.acknowledged_elsewhere);
+        let listed = self.targets.iter().map(|(name, target)| (name.clone(), acknowledged(target)));
         self.restored_acknowledgements.clone().into_iter().chain(listed).collect()
     }
 
@@ -261,7 +278,9 @@
         target.failures = 0;
         target.retry_delay.reset();
         target.last_acknowledged_ms = Some(now_ms);
-        let from = std::mem::replace(&mut target.acknowledged, applied.min(last));
+        let elsewhere = std::mem::take(&mut target.acknowledged_elsewhere);
+        let from = target.acknowledged;
+        target.acknowledged = if applied < from { applied } else { applied.max(elsewhere).min(last) };
         let up_to_date = target.acknowledged >= last;
         target.next_due_ms = if up_to_date { now_ms + self.limits.heartbeat_ms } else { now_ms };
         if applied > last {
@@ -277,6 +296,7 @@
     pub fn record_failure(&mut self, target: &str, now_ms: f64) {
         let Some(target) = self.targets.get_mut(target) else { return };
         target.in_flight = None;
+        target.acknowledged = target.acknowledged.max(std::mem::take(&mut target.acknowledged_elsewhere));
         target.failures += 1;
         target.next_due_ms = now_ms + target.retry_delay.next_ms(&mut self.rng);
     }
--- a/src/purge/follower.rs
+++ b/src/purge/follower.rs
@@ -2,13 +2,12 @@
 
 use super::active_purges::{ActivePurges, Purge, PurgeStamp};
 use super::config::{PurgeConfig, Role};
-use super::journal::{Durability, Journal};
+use super::journal::{Durability, JournalLock};
 use super::log::LogError;
 use super::log_record::Record;
+use super::logged_state::LoggedState;
 use super::metrics::ReplicaStatus;
-use super::recovery::Recovered;
 use super::wire::{Batch, PurgeList};
-use std::collections::BTreeMap;
 use thiserror::Error;
 
 /// Why a batch was rejected or not applied completely.
@@ -30,17 +29,21 @@
 #[derive(Debug)]
 pub struct Follower {
     name: String,
-    journal: Journal,
-    /// Acknowledgements by target, logged while this proxy was the leader; kept in case it becomes the leader
-    /// again.
-    acknowledged: BTreeMap<String, u64>,
+    state: LoggedState,
 }
 
 impl Follower {
     /// Recovers a follower from its log and activates the logged purges.
     pub fn open(config: &PurgeConfig, active: &mut ActivePurges, now_ms: f64) -> Result<Self, LogError> {
-        let Recovered { journal, acknowledged, .. } = Recovered::read(config, active, now_ms)?;
-        Ok(Self { name: config.name.clone(), journal, acknowledged })
+        Ok(Self { name: config.name.clone(), state: LoggedState::open(config, active, now_ms)? })
+    }
+
+    /// Applies the purges that other processes of this proxy have logged.
+    pub fn catch_up(&mut self, active: &mut ActivePurges, now_ms: f64) -> Result<(), LogError> {
+        if !self.state.journal.is_current()? {
+            self.state.lock(active, now_ms)?;
+        }
+        Ok(())
     }
 
     /// Applies a batch from the leader, in order and up to the first gap, skipping duplicates. The applied
@@ -54,19 +57,20 @@
         if !is_contiguous(batch) {
             return Err(ReceiveError::NotContiguous);
         }
+        let lock = self.state.lock(active, now_ms)?;
         let mut changed = false;
         if let Some(cutoff) = batch.cutoff {
-            changed |= self.apply_cutoff(cutoff, batch.from, active)?;
+            changed |= self.apply_cutoff(&lock, cutoff, batch.from, active)?;
         }
-        changed |= self.apply_purges(&batch.purges, active)?;
+        changed |= self.apply_purges(&lock, &batch.purges, active)?;
         let low_water_mark = batch.low_water_mark.min(active.last_applied());
-        changed |= self.journal.advance_low_water_mark(low_water_mark, active, now_ms)?;
+        changed |= self.state.journal.advance_low_water_mark(&lock, low_water_mark, active, now_ms)?;
         if changed {
-            self.journal.sync()?;
+            self.state.journal.sync()?;
         }
-        if self.journal.needs_compaction() {
-            self.journal.first_retained = self.journal.low_water_mark + 1;
-            self.journal.compact(active, &BTreeMap::new(), self.acknowledged.clone())?;
+        if self.state.journal.needs_compaction() {
+            self.state.journal.first_retained = self.state.journal.low_water_mark + 1;
+            self.state.compact(&lock, active)?;
         }
         Ok(active.last_applied())
     }
@@ -74,6 +78,7 @@
     /// Applies a cutoff if it replaces purges that this follower lacks; returns whether it was applied.
     fn apply_cutoff(
         &mut self,
+        lock: &JournalLock,
         cutoff: PurgeStamp,
         batch_from: u64,
         active: &mut ActivePurges,
@@ -81,10 +86,10 @@
         if cutoff.seq < active.last_applied() || batch_from != cutoff.seq + 1 {
             return Ok(false);
         }
-        self.journal.append(&Record::Cutoff(cutoff), Durability::Deferred)?;
+        self.state.journal.append(lock, &Record::Cutoff(cutoff), Durability::Deferred)?;
         active.apply_cutoff(cutoff);
-        self.journal.last_dropped = Some(cutoff);
-        self.journal.last_seq = self.journal.last_seq.max(cutoff.seq);
+        self.state.journal.last_dropped = Some(cutoff);
+        self.state.journal.last_seq = self.state.journal.last_seq.max(cutoff.seq);
         tracing::warn!(
             seq = cutoff.seq,
             issued_ms = cutoff.issued_ms,
@@ -94,21 +99,26 @@
     }
 
     /// Applies purges up to the first gap; returns whether any was new.
-    fn apply_purges(&mut self, purges: &[Purge], active: &mut ActivePurges) -> Result<bool, LogError> {
+    fn apply_purges(
+        &mut self,
+        lock: &JournalLock,
+        purges: &[Purge],
+        active: &mut ActivePurges,
+    ) -> Result<bool, LogError> {
         let applied_before = active.last_applied();
         for purge in purges {
             if purge.seq <= active.last_applied() {
-                self.journal.metrics.repeats += 1;
+                self.state.journal.metrics.repeats += 1;
                 continue;
             }
             if purge.seq != active.last_applied() + 1 {
-                self.journal.metrics.gaps += 1;
+                self.state.journal.metrics.gaps += 1;
                 break;
             }
-            self.journal.append(&Record::Purge(purge.clone()), Durability::Deferred)?;
+            self.state.journal.append(lock, &Record::Purge(purge.clone()), Durability::Deferred)?;
             active.apply(purge);
-            self.journal.metrics.received += 1;
-            self.journal.last_seq = purge.seq;
+            self.state.journal.metrics.received += 1;
+            self.state.journal.last_seq = purge.seq;
             tracing::info!(seq = purge.seq, selector = %purge.selector, "purge applied");
         }
         Ok(active.last_applied() > applied_before)
@@ -116,18 +126,18 @@
 
     /// Flushes the log to disk.
     pub fn sync(&mut self) -> Result<(), LogError> {
-        self.journal.sync()
+        self.state.journal.sync()
     }
 
     /// The active purges from sequence number `from` on, at most `max`.
     pub fn list(&self, active: &ActivePurges, from: u64, max: usize) -> PurgeList {
         let purges = active.iter().filter(|purge| purge.seq >= from).take(max).collect();
-        PurgeList { purges, last_seq: self.journal.last_seq }
+        PurgeList { purges, last_seq: self.state.journal.last_seq }
     }
 
     /// The status of this follower.
     pub fn status(&self, active: &ActivePurges) -> ReplicaStatus {
-        self.journal.status(Role::Follower, &self.name, active)
+        self.state.journal.status(Role::Follower, &self.name, active)
     }
 }
 
--- a/src/purge/journal.rs
+++ b/src/purge/journal.rs
@@ -1,9 +1,12 @@
 //! The purge log of a leader or follower, with the sequence numbers stored in it: the last one, the first
 //! retained one and the low-water mark. Without a log file, all state is in memory only.
+//!
+//! Processes that share a log write it under its lock: every method that appends takes the [`JournalLock`].
 
 use super::active_purges::{ActivePurges, Purge, PurgeStamp};
 use super::config::{PurgeConfig, Role};
-use super::log::{LogError, PurgeLog, TruncatedTail};
+use super::lock_file::FileLock;
+use super::log::{LogContents, LogError, PurgeLog, TruncatedTail};
 use super::log_record::{Record, Snapshot};
 use super::metrics::{LogFile, PurgeMetrics, ReplicaStatus};
 use std::collections::BTreeMap;
@@ -17,6 +20,17 @@
     Deferred,
 }
 
+/// The lock of the log, if there is a log. Whoever holds it has read all records of the log.
+#[derive(Debug)]
+pub(super) struct JournalLock(Option<FileLock>);
+
+impl JournalLock {
+    /// The lock of a log that has been read.
+    pub(super) fn of_log(lock: FileLock) -> Self {
+        Self(Some(lock))
+    }
+}
+
 /// The log of a replica, its sequence numbers and its counters.
 #[derive(Debug)]
 pub(super) struct Journal {
@@ -50,11 +64,29 @@
         }
     }
 
+    /// Locks the log; returns the records that other processes have appended since this one read or wrote it.
+    pub(super) fn lock(&mut self) -> Result<(JournalLock, LogContents), LogError> {
+        let Some(log) = &mut self.log else { return Ok((JournalLock(None), LogContents::default())) };
+        let lock = log.lock()?;
+        let contents = log.read_new(&lock)?;
+        Ok((JournalLock::of_log(lock), contents))
+    }
+
+    /// Whether no other process has written the log since this one read or wrote it.
+    pub(super) fn is_current(&self) -> Result<bool, LogError> {
+        self.log.as_ref().map_or(Ok(true), PurgeLog::is_current)
+    }
+
     /// Appends a record; does nothing without a log file.
-    pub(super) fn append(&mut self, record: &Record, durability: Durability) -> Result<(), LogError> {
-        match &mut self.log {
-            Some(log) => log.append(record, durability == Durability::Synced),
-            None => Ok(()),
+    pub(super) fn append(
+        &mut self,
+        lock: &JournalLock,
+        record: &Record,
+        durability: Durability,
+    ) -> Result<(), LogError> {
+        match (&mut self.log, &lock.0) {
+            (Some(log), Some(lock)) => log.append(lock, record, durability == Durability::Synced),
+            _ => Ok(()),
         }
     }
 
@@ -67,6 +99,7 @@
     /// advanced.
     pub(super) fn advance_low_water_mark(
         &mut self,
+        lock: &JournalLock,
         seq: u64,
         active: &mut ActivePurges,
         now_ms: f64,
@@ -76,7 +109,7 @@
         }
         self.low_water_mark = seq;
         active.advance_low_water_mark(seq, now_ms);
-        self.append(&Record::LowWaterMark { through: seq }, Durability::Deferred)?;
+        self.append(lock, &Record::LowWaterMark { through: seq }, Durability::Deferred)?;
         Ok(true)
     }
 
@@ -88,24 +121,25 @@
     /// Rewrites the log as a snapshot followed by the retained and the active purges, each once and in order.
     pub(super) fn compact(
         &mut self,
+        lock: &JournalLock,
         active: &ActivePurges,
         retained: &BTreeMap<u64, Purge>,
-        acknowledged: BTreeMap<String, u64>,
+        acknowledged: &BTreeMap<String, u64>,
     ) -> Result<(), LogError> {
-        let Some(log) = &mut self.log else { return Ok(()) };
+        let (Some(log), Some(lock)) = (&mut self.log, &lock.0) else { return Ok(()) };
         let snapshot = Snapshot {
             last_seq: self.last_seq,
             low_water_mark: self.low_water_mark,
             first_retained: self.first_retained,
             last_dropped: self.last_dropped,
             cutoff: active.cutoff(),
-            acknowledged,
+            acknowledged: acknowledged.clone(),
         };
         let mut purges: BTreeMap<u64, Purge> = active.iter().map(|purge| (purge.seq, purge)).collect();
         purges.extend(retained.iter().map(|(seq, purge)| (*seq, purge.clone())));
         let mut records = vec![Record::Snapshot(snapshot)];
         records.extend(purges.into_values().map(Record::Purge));
-        log.rewrite(&records)?;
+        log.rewrite(lock, &records)?;
         self.metrics.compactions += 1;
         tracing::info!(
             bytes = log.size_bytes(),
--- a/src/purge/leader.rs
+++ b/src/purge/leader.rs
@@ -1,14 +1,14 @@
 //! The leader: assigns sequence numbers to purges, logs them before they are sent, and builds the batches to
 //! send.
 
-use super::active_purges::{ActivePurges, ApplyOutcome, Purge, PurgeStamp};
+use super::active_purges::{ActivePurges, ApplyOutcome, Purge};
 use super::config::{PurgeConfig, Role, Target};
 use super::fanout::{AckOutcome, BatchRange, FanOut};
-use super::journal::{Durability, Journal};
+use super::journal::{Durability, JournalLock};
 use super::log::LogError;
 use super::log_record::Record;
+use super::logged_state::LoggedState;
 use super::metrics::ReplicaStatus;
-use super::recovery::Recovered;
 use super::selector::Selector;
 use super::wire::{Batch, PurgeList, SubmitResponse};
 use crate::http_client::CallError;
@@ -59,12 +59,8 @@
 #[derive(Debug)]
 pub struct Leader {
     name: String,
-    journal: Journal,
-    /// The purges retained for targets, by sequence number.
-    retained: BTreeMap<u64, Purge>,
+    state: LoggedState,
     max_retained: usize,
-    /// The issue time of the newest purge, in Unix milliseconds. Issue times never decrease.
-    last_issued_ms: f64,
     fanout: FanOut,
     addresses: BTreeMap<String, SocketAddr>,
     /// The targets listed in the configuration file.
@@ -79,20 +75,20 @@
         now_ms: f64,
         seed: u64,
     ) -> Result<Self, LogError> {
-        let recovered = Recovered::read(config, active, now_ms)?;
+        let mut state = LoggedState::open(config, active, now_ms)?;
+        let acknowledged = state.acknowledged.clone();
+        state.take_new_acknowledgements();
         let mut leader = Self {
             name: config.name.clone(),
-            journal: recovered.journal,
-            retained: recovered.retained,
+            state,
             max_retained: config.max_retained,
-            last_issued_ms: recovered.last_issued_ms,
             fanout: FanOut::new(config.backoff, config.fanout_limits(), seed),
             addresses: BTreeMap::new(),
             configured_targets: config.configured_targets(),
         };
         leader.update_fanout_range();
         leader.set_listed_targets(now_ms, Vec::new());
-        for (target, seq) in &recovered.acknowledged {
+        for (target, seq) in &acknowledged {
             leader.fanout.restore_acknowledgement(target, *seq);
         }
         Ok(leader)
@@ -112,44 +108,70 @@
         active: &mut ActivePurges,
         now_ms: f64,
     ) -> Result<SubmitResponse, SubmitError> {
-        let issued_ms = now_ms.max(self.last_issued_ms);
-        let purge = Purge { seq: self.journal.last_seq + 1, issued_ms, selector };
-        self.journal.append(&Record::Purge(purge.clone()), Durability::Synced)?;
-        self.journal.last_seq = purge.seq;
-        self.last_issued_ms = issued_ms;
+        let lock = self.lock_log(active, now_ms)?;
+        // Issue times never decrease.
+        let issued_ms = now_ms.max(self.state.last_issued_ms);
+        let purge = Purge { seq: self.state.journal.last_seq + 1, issued_ms, selector };
+        self.state.journal.append(&lock, &Record::Purge(purge.clone()), Durability::Synced)?;
+        self.state.journal.last_seq = purge.seq;
+        self.state.last_issued_ms = issued_ms;
         let outcome = active.apply(&purge);
         debug_assert_eq!(outcome, ApplyOutcome::Applied);
         tracing::info!(seq = purge.seq, selector = %purge.selector, issued_ms, "purge issued");
-        self.journal.metrics.issued += 1;
+        self.state.journal.metrics.issued += 1;
         let submitted = SubmitResponse { seq: purge.seq, issued_ms };
-        self.retained.insert(purge.seq, purge);
+        self.state.retained.insert(purge.seq, purge);
         self.fanout.purge_appended(submitted.seq, now_ms);
-        self.drop_old_purges(active)?;
+        self.drop_old_purges(&lock, active)?;
         Ok(submitted)
     }
 
     /// Once more than `max_retained` purges are retained or the log has grown beyond `compact_bytes`, drops
     /// the purges that every target has applied and the oldest beyond `max_retained`, and compacts the log. A
     /// target that lacks a dropped purge gets a cutoff.
-    fn drop_old_purges(&mut self, active: &ActivePurges) -> Result<(), LogError> {
-        if self.retained.len() <= self.max_retained && !self.journal.needs_compaction() {
+    fn drop_old_purges(&mut self, lock: &JournalLock, active: &ActivePurges) -> Result<(), LogError> {
+        if self.state.retained.len() <= self.max_retained && !self.state.journal.needs_compaction() {
             return Ok(());
         }
         let low_water_mark = self.fanout.low_water_mark();
-        while let Some((&seq, purge)) = self.retained.first_key_value() {
-            if seq > low_water_mark && self.retained.len() <= self.max_retained {
+        while let Some((&seq, purge)) = self.state.retained.first_key_value() {
+            if seq > low_water_mark && self.state.retained.len() <= self.max_retained {
                 break;
             }
-            self.journal.last_dropped = Some(purge.stamp());
-            self.journal.first_retained = seq + 1;
-            self.retained.remove(&seq);
+            self.state.journal.last_dropped = Some(purge.stamp());
+            self.state.journal.first_retained = seq + 1;
+            self.state.retained.remove(&seq);
         }
         self.update_fanout_range();
-        self.journal.compact(active, &self.retained, self.fanout.acknowledgements())
+        self.state.acknowledged = self.fanout.acknowledgements();
+        self.state.compact(lock, active)
+    }
+
+    /// Applies the purges that other processes of this proxy have logged.
+    pub fn catch_up(&mut self, active: &mut ActivePurges, now_ms: f64) -> Result<(), LogError> {
+        if !self.state.journal.is_current()? {
+            self.lock_log(active, now_ms)?;
+        }
+        Ok(())
+    }
+
+    /// Locks the log and applies the purges that other processes of this proxy have logged. They are due to
+    /// this process's targets too: the process that issued them may end before it has sent them.
+    fn lock_log(&mut self, active: &mut ActivePurges, now_ms: f64) -> Result<JournalLock, LogError> {
+        let last_seq = self.state.journal.last_seq;
+        let lock = self.state.lock(active, now_ms)?;
+        self.update_fanout_range();
+        if self.state.journal.last_seq > last_seq {
+            self.fanout.purge_appended(self.state.journal.last_seq, now_ms);
+        }
+        for (target, seq) in self.state.take_new_acknowledgements() {
+            self.fanout.merge_acknowledgement(&target, seq);
+        }
+        Ok(lock)
     }
 
     fn update_fanout_range(&mut self) {
-        self.fanout.set_retained(self.journal.first_retained, self.journal.last_seq);
+        self.fanout.set_retained(self.state.journal.first_retained, self.state.journal.last_seq);
     }
 
     /// The batches to send now, recorded as in flight.
@@ -162,12 +184,12 @@
     fn build_batch(&mut self, range: BatchRange, low_water_mark: u64) -> Option<OutgoingBatch> {
         let address = *self.addresses.get(&range.target)?;
         let purges = match range.through >= range.from {
-            true => self.retained.range(range.from..=range.through).map(|(_, p)| p.clone()).collect(),
+            true => self.state.retained.range(range.from..=range.through).map(|(_, p)| p.clone()).collect(),
             false => Vec::new(),
         };
-        let cutoff = self.journal.last_dropped.filter(|_| range.with_cutoff);
-        self.journal.metrics.batches += 1;
-        self.journal.metrics.cutoffs += u64::from(cutoff.is_some());
+        let cutoff = self.state.journal.last_dropped.filter(|_| range.with_cutoff);
+        self.state.journal.metrics.batches += 1;
+        self.state.journal.metrics.cutoffs += u64::from(cutoff.is_some());
         let batch = Batch { leader: self.name.clone(), from: range.from, low_water_mark, cutoff, purges };
         Some(OutgoingBatch { target: range.target, address, batch })
     }
@@ -180,26 +202,34 @@
         active: &mut ActivePurges,
         now_ms: f64,
     ) -> Result<(), LogError> {
+        let lock = match self.lock_log(active, now_ms) {
+            Ok(lock) => lock,
+            Err(error) => {
+                // The purges of other processes are unknown, so the acknowledgement can't be judged.
+                self.fanout.record_failure(target, now_ms);
+                return Err(error);
+            }
+        };
         match self.fanout.acknowledge(target, applied, now_ms) {
             AckOutcome::Advanced { from, to } if to > from => {
                 let record = Record::Acknowledged { target: target.to_string(), seq: to };
-                self.journal.append(&record, Durability::Deferred)?;
+                self.state.journal.append(&lock, &record, Durability::Deferred)?;
                 tracing::debug!(target, acknowledged = to, "purges: target acknowledged");
             }
             AckOutcome::Regressed { from, to } => {
-                self.journal.metrics.regressions += 1;
+                self.state.journal.metrics.regressions += 1;
                 tracing::warn!(target, from, to, "purges: a target lost its state; resending its purges");
             }
             AckOutcome::BeyondLog { acknowledged } => {
-                self.replace_missing_purges(acknowledged, active, now_ms)?;
+                self.replace_missing_purges(&lock, acknowledged, active, now_ms)?;
             }
             AckOutcome::Advanced { .. } | AckOutcome::Unexpected => {}
         }
         let low_water_mark = self.fanout.low_water_mark();
-        if self.journal.advance_low_water_mark(low_water_mark, active, now_ms)? {
+        if self.state.journal.advance_low_water_mark(&lock, low_water_mark, active, now_ms)? {
             tracing::info!(low_water_mark, "purges: low-water mark advanced");
         }
-        self.drop_old_purges(active)
+        self.drop_old_purges(&lock, active)
     }
 
     /// Handles an acknowledgement of a sequence number beyond the end of this log, assigned in an earlier log
@@ -207,24 +237,18 @@
     /// sequence numbers after `acknowledged`.
     fn replace_missing_purges(
         &mut self,
+        lock: &JournalLock,
         acknowledged: u64,
         active: &mut ActivePurges,
         now_ms: f64,
     ) -> Result<(), LogError> {
         tracing::error!(
             acknowledged,
-            last_seq = self.journal.last_seq,
+            last_seq = self.state.journal.last_seq,
             "purges: a target acknowledged purges that this log lacks; purging every copy generated \
              until now in the whole fleet"
         );
-        let cutoff = PurgeStamp { seq: acknowledged, issued_ms: now_ms.max(self.last_issued_ms) };
-        self.journal.append(&Record::Cutoff(cutoff), Durability::Synced)?;
-        active.apply_cutoff(cutoff);
-        self.journal.last_seq = cutoff.seq;
-        self.journal.first_retained = cutoff.seq + 1;
-        self.journal.last_dropped = Some(cutoff);
-        self.last_issued_ms = cutoff.issued_ms;
-        self.retained.clear();
+        self.state.issue_cutoff(lock, acknowledged, active, now_ms)?;
         self.update_fanout_range();
         Ok(())
     }
@@ -232,7 +256,7 @@
     /// Records that a batch to a target failed. It is retried with backoff.
     pub fn record_failure(&mut self, target: &str, now_ms: f64, error: &SendError) {
         self.fanout.record_failure(target, now_ms);
-        self.journal.metrics.failures += 1;
+        self.state.journal.metrics.failures += 1;
         let failures = self.fanout.targets().get(target).map_or(0, |state| state.failures);
         if failures == 1 || failures.is_multiple_of(FAILURES_PER_WARNING) {
             tracing::warn!(target, failures, %error, "purges: sending to a target failed; retrying with backoff");
@@ -246,21 +270,21 @@
 
     /// Flushes the log to disk.
     pub fn sync(&mut self) -> Result<(), LogError> {
-        self.journal.sync()
+        self.state.journal.sync()
     }
 
     /// The retained purges from sequence number `from` on, at most `max`.
     pub fn list(&self, from: u64, max: usize) -> PurgeList {
-        let purges = self.retained.range(from..).take(max).map(|(_, purge)| purge.clone()).collect();
-        PurgeList { purges, last_seq: self.journal.last_seq }
+        let purges = self.state.retained.range(from..).take(max).map(|(_, purge)| purge.clone()).collect();
+        PurgeList { purges, last_seq: self.state.journal.last_seq }
     }
 
     /// The status of this leader.
     pub fn status(&self, active: &ActivePurges) -> ReplicaStatus {
         ReplicaStatus {
-            retained: self.retained.len(),
+            retained: self.state.retained.len(),
             targets: self.fanout.targets().clone(),
-            ..self.journal.status(Role::Leader, &self.name, active)
+            ..self.state.journal.status(Role::Leader, &self.name, active)
         }
     }
 }
--- /dev/null
+++ b/src/purge/lock_file.rs
@@ -0,0 +1,92 @@
+//! An advisory lock on a file, which excludes other processes of the same proxy, for example during an upgrade.
+//! The operating system releases it when its process ends, however it ends.
+
+use std::fs::{File, OpenOptions, TryLockError};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+
+/// Interval between attempts to take the lock.
+const RETRY_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Why the lock can't be taken.
+#[derive(Debug, Error)]
+pub enum LockError {
+    /// An I/O operation on the lock file failed.
+    #[error("lock file {path}: {operation}: {source}")]
+    Io {
+        /// The path of the lock file.
+        path: PathBuf,
+        /// The operation.
+        operation: &'static str,
+        /// The operating system's error.
+        source: std::io::Error,
+    },
+    /// Another process holds the lock.
+    #[error("lock file {path}: another process has held the lock for more than {} ms", waited.as_millis())]
+    Held {
+        /// The path of the lock file.
+        path: PathBuf,
+        /// How long this process has waited.
+        waited: Duration,
+    },
+}
+
+/// An open lock file.
+#[derive(Debug)]
+pub struct LockFile {
+    path: PathBuf,
+    file: Arc<File>,
+    /// Whether the last wait was in vain. Until the lock is free again, no further call waits, so that a
+    /// process that is stopped while it holds the lock does not slow this one down.
+    timed_out: bool,
+}
+
+/// The lock, held until this value is dropped.
+#[derive(Debug)]
+pub struct FileLock {
+    file: Arc<File>,
+}
+
+impl LockFile {
+    /// Opens the lock file at `path`, or creates it.
+    pub fn open(path: PathBuf) -> Result<Self, LockError> {
+        match OpenOptions::new().write(true).create(true).truncate(false).open(&path) {
+            Ok(file) => Ok(Self { path, file: Arc::new(file), timed_out: false }),
+            Err(source) => Err(LockError::Io { path, operation: "open", source }),
+        }
+    }
+
+    /// Takes the lock. While another process holds it, waits for at most `timeout`.
+    pub fn acquire(&mut self, timeout: Duration) -> Result<FileLock, LockError> {
+        let waited = if self.timed_out { Duration::ZERO } else { timeout };
+        let deadline = Instant::now() + waited;
+        loop {
+            match self.file.try_lock() {
+                Ok(()) => break,
+                Err(TryLockError::Error(source)) => {
+                    return Err(LockError::Io { path: self.path.clone(), operation: "lock", source });
+                }
+                Err(TryLockError::WouldBlock) if Instant::now() >= deadline => {
+                    self.timed_out = true;
+                    return Err(LockError::Held { path: self.path.clone(), waited });
+                }
+                Err(TryLockError::WouldBlock) => std::thread::sleep(RETRY_INTERVAL),
+            }
+        }
+        self.timed_out = false;
+        Ok(FileLock { file: self.file.clone() })
+    }
+}
+
+impl Drop for FileLock {
+    fn drop(&mut self) {
+        if let Err(error) = self.file.unlock() {
+            tracing::error!(%error, "a file lock can't be released");
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/purge/log.rs
+++ b/src/purge/log.rs
@@ -1,25 +1,39 @@
-//! The purge log on disk: an append-only file of records (see [`super::log_record`]).
+//! The purge log on disk: an append-only file of records (see [`super::log_record`]), which all processes of
+//! one replica share, for example the two processes of an upgrade. Whoever holds its lock
+//! ([`super::lock_file`]) reads what the others have appended, and only then appends. The lock is on a file of
+//! its own, because compaction replaces the log.
 //!
-//! Opening reads the records up to the first invalid one, truncates the file there, and
-//! logs and returns the fault. The leader flushes a purge to disk before sending it, so a leader's torn tail
-//! contains no purge that was sent. Other records may be written without waiting for the disk: they survive
-//! SIGKILL. An acknowledgement lost in a power failure only causes a repeat, which the target skips by its
-//! sequence number; a follower flushes its purges to disk before it acknowledges them.
+//! Opening reads the records up to the first invalid one, truncates the file there, and logs and returns the
+//! fault. The leader flushes a purge to disk before sending it, so a leader's torn tail contains no purge that
+//! was sent. Other records may be written without waiting for the disk: they survive SIGKILL. An
+//! acknowledgement lost in a power failure only causes a repeat, which the target skips by its sequence
+//! number; a follower flushes its purges to disk before it acknowledges them.
 //!
 //! Compaction writes a new file next to the old one and renames it over the old one. The rename is atomic, so
-//! a crash leaves one of the two files complete.
+//! a crash leaves one of the two files complete. Another process notices that the path names a new file, and
+//! reads that one from its start.
 
-use super::log_record::{
-    decode, encode, DecodedLog, InvalidRecord, Record, RecordFault, MAGIC, MAX_PURGE_RECORD_BYTES,
-};
+use super::lock_file::{FileLock, LockError, LockFile};
+use super::log_record::{decode, encode, DecodedLog, Record, RecordFault, MAGIC, MAX_PURGE_RECORD_BYTES};
 use serde::Serialize;
-use std::fs::{File, OpenOptions};
-use std::io::{Read, Write};
+use std::fs::{File, Metadata, OpenOptions};
+use std::io::Write;
+use std::os::unix::fs::{FileExt, MetadataExt};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 use thiserror::Error;
 
 /// Maximum size of a log file, in bytes.
 pub const MAX_FILE_BYTES: u64 = 1 << 30;
+/// Suffix that the name of the lock file adds to that of the log.
+const LOCK_FILE_SUFFIX: &str = ".lock";
+/// Suffix of the file that a compaction writes before it replaces the log.
+const REPLACEMENT_SUFFIX: &str = ".new";
+/// How long the start of a process waits for the lock. Another process holds it for one write and its fsync,
+/// or for a compaction.
+const OPEN_LOCK_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a process that serves requests waits for the lock. The wait blocks its event loop.
+const LOCK_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Why a log can't be opened or written.
 #[derive(Debug, Error)]
@@ -40,6 +54,9 @@
     /// The file is larger than [`MAX_FILE_BYTES`].
     #[error("purge log {0}: larger than {MAX_FILE_BYTES} bytes")]
     TooLarge(PathBuf),
+    /// The lock can't be taken.
+    #[error("purge log: {0}")]
+    Lock(#[from] LockError),
     /// A record can't be encoded as JSON.
     #[error("purge log: a record can't be encoded: {0}")]
     Encode(#[from] simd_json::Error),
@@ -67,22 +84,52 @@
     }
 }
 
-/// A log that was opened, and its contents.
+/// What was read from a log.
+#[derive(Debug, Default)]
+pub struct LogContents {
+    /// The valid records, in order.
+    pub records: Vec<Record>,
+    /// The tail that was removed, if any.
+    pub truncated: Option<TruncatedTail>,
+    /// Whether the records are those of the whole file, and not only those after the last read.
+    pub is_whole_file: bool,
+    /// The file no longer contains the records that this process had read or written: something else than a
+    /// compaction deleted, emptied or shortened it.
+    pub lost_records: bool,
+}
+
+/// A log that was opened and is still locked, and its contents.
 #[derive(Debug)]
 pub struct OpenedLog {
     /// The log, to append to.
     pub log: PurgeLog,
-    /// The valid records.
-    pub records: Vec<Record>,
-    /// The tail that was removed, if any.
-    pub truncated: Option<TruncatedTail>,
+    /// Its lock.
+    pub lock: FileLock,
+    /// Its contents.
+    pub contents: LogContents,
+}
+
+/// Identifies a file; a compacted log is a new file at the same path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct FileId {
+    device: u64,
+    inode: u64,
+}
+
+impl FileId {
+    fn of(metadata: &Metadata) -> Self {
+        Self { device: metadata.dev(), inode: metadata.ino() }
+    }
 }
 
-/// A log open for appending.
+/// A log open for reading and appending.
 #[derive(Debug)]
 pub struct PurgeLog {
     path: PathBuf,
     file: File,
+    file_id: FileId,
+    lock_file: LockFile,
+    /// The size up to which this process has read or written the file, in bytes.
     size_bytes: u64,
 }
 
@@ -91,49 +138,123 @@
     move |source| LogError::Io { path: path.to_path_buf(), operation, source }
 }
 
+/// A path next to `path`, with a suffix added to the file's name.
+fn with_suffix(path: &Path, suffix: &str) -> PathBuf {
+    let mut name = path.to_path_buf().into_os_string();
+    name.push(suffix);
+    PathBuf::from(name)
+}
+
+/// Opens a log's file, or creates an empty one.
+fn open_file(path: &Path) -> Result<(File, FileId), LogError> {
+    let file =
+        OpenOptions::new().read(true).append(true).create(true).open(path).map_err(io_error(path, "open"))?;
+    let metadata = file.metadata().map_err(io_error(path, "stat"))?;
+    Ok((file, FileId::of(&metadata)))
+}
+
 impl PurgeLog {
     /// Opens a log, or creates an empty one. Reads its records, and truncates it at the first invalid one.
     pub fn open(path: &Path) -> Result<OpenedLog, LogError> {
-        let mut file = OpenOptions::new()
-            .read(true)
-            .append(true)
-            .create(true)
-            .open(path)
-            .map_err(io_error(path, "open"))?;
-        let size = file.metadata().map_err(io_error(path, "stat"))?.len();
-        if size > MAX_FILE_BYTES {
-            return Err(LogError::TooLarge(path.to_path_buf()));
+        let mut lock_file = LockFile::open(with_suffix(path, LOCK_FILE_SUFFIX))?;
+        let lock = lock_file.acquire(OPEN_LOCK_TIMEOUT)?;
+        let (file, file_id) = open_file(path)?;
+        let mut log = Self { path: path.to_path_buf(), file, file_id, lock_file, size_bytes: 0 };
+        let contents = log.read_from_start()?;
+        Ok(OpenedLog { log, lock, contents })
+    }
+
+    /// Takes the lock. [`Self::read_new`] must follow before anything is appended.
+    pub fn lock(&mut self) -> Result<FileLock, LogError> {
+        Ok(self.lock_file.acquire(LOCK_TIMEOUT)?)
+    }
+
+    /// Whether the file is as this process has last read or written it. Needs no lock.
+    pub fn is_current(&self) -> Result<bool, LogError> {
+        let on_disk = self.metadata_of_path()?;
+        Ok(on_disk
+            .is_some_and(|on_disk| FileId::of(&on_disk) == self.file_id && on_disk.len() == self.size_bytes))
+    }
+
+    /// The metadata of the file that the path names now, if there is one.
+    fn metadata_of_path(&self) -> Result<Option<Metadata>, LogError> {
+        match std::fs::metadata(&self.path) {
+            Ok(metadata) => Ok(Some(metadata)),
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(io_error(&self.path, "stat")(error)),
+        }
+    }
+
+    /// Reads the records that other processes have appended; all records if one of them has compacted the
+    /// log. Truncates the file at the first invalid record.
+    pub fn read_new(&mut self, _lock: &FileLock) -> Result<LogContents, LogError> {
+        let lost = LogContents { lost_records: true, ..LogContents::default() };
+        let Some(on_disk) = self.metadata_of_path()? else { return Ok(lost) };
+        if FileId::of(&on_disk) != self.file_id {
+            (self.file, self.file_id) = open_file(&self.path)?;
+            let contents = self.read_from_start()?;
+            // A compacted log begins with a snapshot.
+            return Ok(LogContents { lost_records: contents.records.is_empty(), ..contents });
+        }
+        if on_disk.len() < self.size_bytes {
+            return Ok(lost);
         }
-        let mut bytes = Vec::with_capacity(size as usize);
-        file.read_to_end(&mut bytes).map_err(io_error(path, "read"))?;
+        let encoded = self.read_bytes_from(self.size_bytes)?;
+        self.decode_tail(&encoded)
+    }
+
+    fn read_from_start(&mut self) -> Result<LogContents, LogError> {
+        let bytes = self.read_bytes_from(0)?;
+        self.size_bytes = MAGIC.len() as u64;
         if bytes.is_empty() {
-            let log = Self::create(path, file)?;
-            return Ok(OpenedLog { log, records: Vec::new(), truncated: None });
+            self.write_magic()?;
+            return Ok(LogContents { is_whole_file: true, ..LogContents::default() });
         }
-        let Some(encoded) = bytes.strip_prefix(MAGIC.as_slice()) else {
-            return Err(LogError::NotPurgeLog(path.to_path_buf()));
-        };
+        match bytes.strip_prefix(MAGIC.as_slice()) {
+            Some(encoded) => Ok(LogContents { is_whole_file: true, ..self.decode_tail(encoded)? }),
+            None => Err(LogError::NotPurgeLog(self.path.clone())),
+        }
+    }
+
+    fn read_bytes_from(&self, offset: u64) -> Result<Vec<u8>, LogError> {
+        let size = self.file.metadata().map_err(io_error(&self.path, "stat"))?.len();
+        if size > MAX_FILE_BYTES {
+            return Err(LogError::TooLarge(self.path.clone()));
+        }
+        let mut bytes = vec![0; size.saturating_sub(offset) as usize];
+        self.file.read_exact_at(&mut bytes, offset).map_err(io_error(&self.path, "read"))?;
+        Ok(bytes)
+    }
+
+    /// Decodes the bytes that follow the first `size_bytes`, up to the end of the file.
+    fn decode_tail(&mut self, encoded: &[u8]) -> Result<LogContents, LogError> {
         let DecodedLog { records, fault } = decode(encoded);
-        let mut log = Self { path: path.to_path_buf(), file, size_bytes: size };
-        let truncated = fault.map(|invalid| log.truncate_at(invalid, records.len())).transpose()?;
-        Ok(OpenedLog { log, records, truncated })
+        let start = self.size_bytes;
+        self.size_bytes += encoded.len() as u64;
+        let truncated = match fault {
+            Some(invalid) => {
+                let offset = start + invalid.offset as u64;
+                Some(self.truncate_at(offset, invalid.fault, records.len())?)
+            }
+            None => None,
+        };
+        Ok(LogContents { records, truncated, ..LogContents::default() })
     }
 
     /// Writes the magic to an empty file.
-    fn create(path: &Path, mut file: File) -> Result<Self, LogError> {
-        file.write_all(MAGIC).map_err(io_error(path, "write"))?;
-        file.sync_all().map_err(io_error(path, "fsync"))?;
-        sync_directory(path)?;
-        Ok(Self { path: path.to_path_buf(), file, size_bytes: MAGIC.len() as u64 })
+    fn write_magic(&mut self) -> Result<(), LogError> {
+        self.file.write_all(MAGIC).map_err(io_error(&self.path, "write"))?;
+        self.file.sync_all().map_err(io_error(&self.path, "fsync"))?;
+        sync_directory(&self.path)
     }
 
     fn truncate_at(
         &mut self,
-        invalid: InvalidRecord,
+        offset: u64,
+        fault: RecordFault,
         intact_records: usize,
     ) -> Result<TruncatedTail, LogError> {
-        let offset = (MAGIC.len() + invalid.offset) as u64;
-        let tail = TruncatedTail { offset, removed: self.size_bytes - offset, fault: invalid.fault };
+        let tail = TruncatedTail { offset, removed: self.size_bytes - offset, fault };
         tracing::error!(
             log = %self.path.display(), offset, removed = tail.removed, fault = %tail.fault, intact_records,
             "purge log: truncated at the first invalid record"
@@ -144,14 +265,24 @@
         Ok(tail)
     }
 
-    /// Appends a record; with `durable`, returns once it is on disk.
-    pub fn append(&mut self, record: &Record, durable: bool) -> Result<(), LogError> {
-        let framed = encode(record)?;
-        self.file.write_all(&framed).map_err(io_error(&self.path, "write"))?;
+    /// Appends a record; with `durable`, returns once it is on disk. After an error the file is as before.
+    pub fn append(&mut self, _lock: &FileLock, record: &Record, durable: bool) -> Result<(), LogError> {
+        let encoded = encode(record)?;
+        if let Err(error) = self.write_at_end(&encoded, durable) {
+            if let Err(error) = self.file.set_len(self.size_bytes) {
+                tracing::error!(%error, "purge log: a record that was not written completely can't be removed");
+            }
+            return Err(error);
+        }
+        self.size_bytes += encoded.len() as u64;
+        Ok(())
+    }
+
+    fn write_at_end(&mut self, encoded: &[u8], durable: bool) -> Result<(), LogError> {
+        self.file.write_all(encoded).map_err(io_error(&self.path, "write"))?;
         if durable {
             self.file.sync_data().map_err(io_error(&self.path, "fsync"))?;
         }
-        self.size_bytes += framed.len() as u64;
         Ok(())
     }
 
@@ -161,10 +292,8 @@
     }
 
     /// Replaces the log with these records, atomically.
-    pub fn rewrite(&mut self, records: &[Record]) -> Result<(), LogError> {
-        let mut replacement = self.path.clone().into_os_string();
-        replacement.push(".new");
-        let replacement = PathBuf::from(replacement);
+    pub fn rewrite(&mut self, _lock: &FileLock, records: &[Record]) -> Result<(), LogError> {
+        let replacement = with_suffix(&self.path, REPLACEMENT_SUFFIX);
         let mut bytes = MAGIC.to_vec();
         for record in records {
             bytes.extend(encode(record)?);
@@ -174,11 +303,7 @@
         file.sync_all().map_err(io_error(&replacement, "fsync"))?;
         std::fs::rename(&replacement, &self.path).map_err(io_error(&self.path, "rename"))?;
         sync_directory(&self.path)?;
-        self.file = OpenOptions::new()
-            .read(true)
-            .append(true)
-            .open(&self.path)
-            .map_err(io_error(&self.path, "open"))?;
+        (self.file, self.file_id) = open_file(&self.path)?;
         self.size_bytes = bytes.len() as u64;
         Ok(())
     }
--- a/src/purge/metrics.rs
+++ b/src/purge/metrics.rs
@@ -15,6 +15,8 @@
     pub issued: u64,
     /// Purges applied from the leader's batches.
     pub received: u64,
+    /// Purges that another process of this proxy has logged, applied from the log.
+    pub from_log: u64,
     /// Received purges that had been applied before.
     pub repeats: u64,
     /// Received batches with a gap in the sequence.
--- a/src/purge/mod.rs
+++ b/src/purge/mod.rs
@@ -9,9 +9,9 @@
 //! | [`age_limit`] | the age limit of attempts and the check of replies | none |
 //! | [`fanout`] | replication: batches, acknowledgements, retries, low-water mark | none |
 //! | [`log_record`] | the records of the log and their encoding | none |
-//! | [`log`] | the append-only log | a file |
+//! | [`log`], [`lock_file`] | the append-only log, and the lock under which its processes write it | a file |
 //! | [`leader`], [`follower`], [`replica`] | issuing, applying and acknowledging purges | the log |
-//! | `journal`, `recovery` | the log with its sequence numbers, and recovery from it at startup | the log |
+//! | `journal`, `logged_state` | the log with its sequence numbers; the state that it contains | the log |
 //! | [`wire`] | the JSON bodies of the HTTP calls | none |
 //! | [`service`] | the calls at the admin address and the sending task | sockets |
 //! | [`config`] | the configuration file | a file |
@@ -28,10 +28,11 @@
 mod index;
 mod journal;
 pub mod leader;
+pub mod lock_file;
 pub mod log;
 pub mod log_record;
+mod logged_state;
 pub mod metrics;
-mod recovery;
 pub mod replica;
 pub mod selector;
 pub mod service;
--- a/src/purge/replica.rs
+++ b/src/purge/replica.rs
@@ -40,6 +40,14 @@
         }
     }
 
+    /// Applies the purges that other processes of this proxy have logged.
+    pub fn catch_up(&mut self, active: &mut ActivePurges, now_ms: f64) -> Result<(), LogError> {
+        match self {
+            Self::Leader(leader) => leader.catch_up(active, now_ms),
+            Self::Follower(follower) => follower.catch_up(active, now_ms),
+        }
+    }
+
     /// Issues a purge; fails at a follower.
     pub fn submit(
         &mut self,
--- a/src/purge/service.rs
+++ b/src/purge/service.rs
@@ -15,12 +15,15 @@
 use crate::http_client::call;
 use crate::wire::http::{HttpRequest, HttpResponse};
 use serde::Serialize;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::{Notify, Semaphore};
 
 /// Interval at which the targets are updated from the endpoint list, in milliseconds.
 const TARGET_REFRESH_MS: f64 = 1_000.0;
+/// Interval at which the log is checked for purges of another process of this proxy, in milliseconds. They must
+/// be in force here within 500 ms of their issue.
+const LOG_CHECK_INTERVAL_MS: f64 = 100.0;
 /// Interval at which deferred log records are flushed to disk, in milliseconds.
 const SYNC_INTERVAL_MS: f64 = 1_000.0;
 /// Maximum number of concurrent calls to targets; limits the file descriptors in use. Further calls wait for
@@ -36,6 +39,8 @@
     limiter: Rc<RefCell<AgeLimiter>>,
     replica: RefCell<Replica>,
     config: PurgeConfig,
+    /// Whether the last check of the log failed; only the first of several failures is logged.
+    log_check_failed: Cell<bool>,
     /// Wakes the sending task when a purge was issued or a target answered.
     wake: Notify,
     /// Permits for calls to targets, [`MAX_CONCURRENT_CALLS`] in all.
@@ -55,6 +60,7 @@
             limiter,
             replica: RefCell::new(replica),
             config,
+            log_check_failed: Cell::new(false),
             wake: Notify::new(),
             call_permits: Semaphore::new(MAX_CONCURRENT_CALLS),
         }))
@@ -64,17 +70,22 @@
         f(&mut self.replica.borrow_mut(), &mut self.limiter.borrow_mut())
     }
 
-    /// Sends due batches (leader only) and flushes the log to disk periodically. Never returns.
+    /// Sends due batches (leader only), and periodically reads the log and flushes it to disk. Never returns.
     pub async fn run(self: Rc<Self>) {
         let is_leader = self.replica.borrow_mut().leader_mut().is_some();
         let mut next_refresh_ms = if is_leader { f64::NEG_INFINITY } else { f64::INFINITY };
         let mut next_sync_ms = self.executor.clock.now() + SYNC_INTERVAL_MS;
+        let mut next_log_check_ms = f64::NEG_INFINITY;
         loop {
             let now_ms = self.executor.clock.now();
             if now_ms >= next_refresh_ms {
                 self.refresh_targets(now_ms);
                 next_refresh_ms = now_ms + TARGET_REFRESH_MS;
             }
+            if now_ms >= next_log_check_ms {
+                self.catch_up(now_ms);
+                next_log_check_ms = now_ms + LOG_CHECK_INTERVAL_MS;
+            }
             let due = self.replica.borrow_mut().leader_mut().map(|leader| leader.take_due_batches(now_ms));
             for batch in due.into_iter().flatten() {
                 tokio::task::spawn_local(self.clone().send(batch));
@@ -84,7 +95,8 @@
                 next_sync_ms = now_ms + SYNC_INTERVAL_MS;
             }
             let next_due_ms = self.replica.borrow_mut().leader_mut().and_then(|leader| leader.next_due_ms());
-            let wake_at_ms = next_due_ms.unwrap_or(f64::INFINITY).min(next_sync_ms).min(next_refresh_ms);
+            let next_periodic_ms = next_sync_ms.min(next_refresh_ms).min(next_log_check_ms);
+            let wake_at_ms = next_due_ms.unwrap_or(f64::INFINITY).min(next_periodic_ms);
             tokio::select! {
                 () = tokio::time::sleep(duration_from_ms(wake_at_ms - now_ms)) => {}
                 () = self.wake.notified() => {}
@@ -102,6 +114,16 @@
         }
     }
 
+    /// Applies the purges that another process of this proxy has logged.
+    fn catch_up(&self, now_ms: f64) {
+        let result = self.with_replica(|replica, limiter| replica.catch_up(&mut limiter.active, now_ms));
+        let has_failed = result.is_err();
+        let failed_before = self.log_check_failed.replace(has_failed);
+        if let Some(error) = result.err().filter(|_| !failed_before) {
+            tracing::error!(%error, "purges: the log can't be checked for purges of another process; retrying");
+        }
+    }
+
     fn sync_log(&self) {
         if let Err(error) = self.replica.borrow_mut().sync() {
             tracing::error!(%error, "purges: the log can't be flushed to disk");
--- /dev/null
+++ b/tests/purge_upgrade.rs
@@ -0,0 +1,97 @@
+//! An upgrade of a proxy with fleet purges: its two processes share one purge log, and act as one leader or
+//! follower.
+
+mod stand_ins;
+
+use simd_json::prelude::*;
+use stand_ins::purge_fleet::{get_json, leader_config, read_object, submit, wait_until, Fleet, Proxy};
+use stand_ins::{run, test_dir};
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+/// Waits until the process at `admin` reports `key` as `value` in `GET /purges`.
+async fn wait_for_status(admin: SocketAddr, key: &str, value: u64) {
+    for _ in 0..1_000 {
+        if get_json(admin, "/purges").await.is_some_and(|status| status[key].as_u64() == Some(value)) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{admin}: `{key}` did not become {value}");
+}
+
+/// Guards against two purges with one number: each process of an upgrade numbered purges on its own, and
+/// targets skipped the second purge of a number as a repeat.
+#[test]
+fn both_processes_of_an_upgrade_issue_purges_with_consecutive_numbers_that_every_target_applies() {
+    run(async {
+        let fleet = Fleet::start(61).await;
+        let dir = test_dir("purges-upgrade-numbers");
+        let _ = std::fs::remove_file(dir.join("edge-1-state.log"));
+        let config = leader_config("edge-1", &format!(",\"roster_port\":{}", fleet.purge_port));
+        let listener = TcpListener::bind("127.0.61.10:0").unwrap();
+        let mut old = Proxy::start_on(&listener, &dir, "old", &fleet, &config).await;
+        assert_eq!(submit(old.admin, "tag:t1").await.unwrap().seq, 1);
+        let new = Proxy::start_on(&listener, &dir, "new", &fleet, &config).await;
+        for seq in 2..=9 {
+            let admin = if seq % 2 == 0 { new.admin } else { old.admin };
+            let issued = submit(admin, &format!("tag:t{seq}")).await.unwrap();
+            assert_eq!(issued.seq, seq, "two purges got one number, or a number was skipped");
+        }
+        for admin in [old.admin, new.admin] {
+            wait_for_status(admin, "last", 9).await;
+            wait_for_status(admin, "done", 9).await;
+        }
+        old.kill();
+        assert_eq!(submit(new.admin, "tag:t10").await.unwrap().seq, 10);
+        wait_for_status(new.admin, "done", 10).await;
+        for server in fleet.caches() {
+            assert_eq!(
+                *server.observed.applied.borrow(),
+                (1..=10).collect::<Vec<u64>>(),
+                "{} did not apply every purge once and in order",
+                server.name
+            );
+            assert_eq!(server.observed.cutoffs.get(), 0, "{} purged everything", server.name);
+        }
+    });
+}
+
+/// Guards against purged copies that are read through the other process of an upgrade: a purge took effect
+/// only in the process that issued it, and was lost for the targets if that one ended first.
+#[test]
+fn a_purge_of_the_old_process_takes_effect_in_the_new_one_and_is_sent_after_the_old_one_is_killed() {
+    run(async {
+        let fleet = Fleet::start(62).await;
+        let dir = test_dir("purges-upgrade-effect");
+        let _ = std::fs::remove_file(dir.join("edge-1-state.log"));
+        let config = leader_config("edge-1", &format!(",\"roster_port\":{}", fleet.purge_port));
+        let listener = TcpListener::bind("127.0.62.10:0").unwrap();
+        let mut old = Proxy::start_on(&listener, &dir, "old", &fleet, &config).await;
+        let last_call_id = Cell::new(0);
+        fleet.tag(0x200, "seller-8");
+        assert_eq!(read_object(old.listen, 0x200, 7, &last_call_id).await.map(|a| a.0), Some(200));
+        let new = Proxy::start_on(&listener, &dir, "new", &fleet, &config).await;
+        // No cache gets the purge, and each would answer with its purged copy.
+        for server in fleet.caches() {
+            server.unreachable.set(true);
+            server.ignores_age_limit.set(true);
+        }
+        let purge = submit(old.admin, "tag:seller-8").await.unwrap();
+        wait_for_status(new.admin, "binding", 1).await;
+        old.kill();
+        if let Some((200, generated_ms)) = read_object(new.listen, 0x200, 7, &last_call_id).await {
+            let generated_ms = generated_ms.expect("the body names its copy");
+            assert!(generated_ms > purge.issued_ms, "got a purged copy of {generated_ms}");
+        }
+        for server in fleet.caches() {
+            server.unreachable.set(false);
+        }
+        wait_until(10, "the new process has sent the purge to every cache", || {
+            fleet.caches().iter().all(|server| server.last_applied() == purge.seq)
+        })
+        .await;
+        wait_for_status(new.admin, "done", purge.seq).await;
+    });
+}
--- a/tests/stand_ins/purge_leader.rs
+++ b/tests/stand_ins/purge_leader.rs
@@ -4,6 +4,7 @@
 use edge_proxy::purge::active_purges::{ActivePurges, ApplyOutcome};
 use edge_proxy::purge::config::PurgeConfig;
 use edge_proxy::purge::leader::Leader;
+use edge_proxy::purge::wire::Batch;
 use std::path::Path;
 
 /// Writes a purge file to `dir` and reads it; its log is there too.
@@ -19,12 +20,17 @@
 /// Sends the due batches to a target, which applies and acknowledges them.
 pub fn replicate(leader: &mut Leader, active: &mut ActivePurges, target: &mut ActivePurges, now: f64) {
     for outgoing in leader.take_due_batches(now) {
-        if let Some(cutoff) = outgoing.batch.cutoff.filter(|cutoff| cutoff.seq >= target.last_applied()) {
-            target.apply_cutoff(cutoff);
-        }
-        for purge in &outgoing.batch.purges {
-            assert_ne!(target.apply(purge), ApplyOutcome::Gap { expected: target.last_applied() + 1 });
-        }
+        apply_batch(target, &outgoing.batch);
         leader.acknowledge(&outgoing.target, target.last_applied(), active, now).unwrap();
     }
 }
+
+/// Applies a batch as a target does.
+pub fn apply_batch(target: &mut ActivePurges, batch: &Batch) {
+    if let Some(cutoff) = batch.cutoff.filter(|cutoff| cutoff.seq >= target.last_applied()) {
+        target.apply_cutoff(cutoff);
+    }
+    for purge in &batch.purges {
+        assert_ne!(target.apply(purge), ApplyOutcome::Gap { expected: target.last_applied() + 1 });
+    }
+}
