Refuse a second process of a leader of fleet purges that has no log to share

The two can't share what is not written, so the second process now ends with "field `state`: the leader … runs in another process", and the old one goes on. A leader with `state` beside one without is refused too.

The folder's name moves from the maintenance file to `lifecycle::shared_folder`, unchanged.

The test failed without the change ("the process did not end"): the second process started and served.

--- a/src/lifecycle/maintenance.rs
+++ b/src/lifecycle/maintenance.rs
@@ -4,6 +4,7 @@
 use crate::clock::duration_from_ms;
 use crate::config_file::read_json;
 use crate::engine::executor::Executor;
+use crate::lifecycle::shared_folder;
 use crate::state::maintenance::MaintenanceCall;
 use crate::text::{format_endpoint_id, parse_endpoint_id};
 use crate::EndpointId;
@@ -13,8 +14,8 @@
 
 /// Interval between reads, in milliseconds. Changes by the other process must take effect here within 1 s.
 const READ_INTERVAL_MS: f64 = 200.0;
-/// Environment variable that names the folder of the file.
-const FOLDER_VARIABLE: &str = "TMPDIR";
+/// The name of the file in the shared folder.
+const FILE_NAME: &str = "maintenance.json";
 
 /// The maintenance state of an endpoint, as stored in the file.
 #[derive(Debug, Deserialize)]
@@ -47,12 +48,9 @@
 pub struct MaintenanceFile(Option<PathBuf>);
 
 impl MaintenanceFile {
-    /// The maintenance file of the proxy `name`, in `$TMPDIR`.
+    /// The maintenance file of the proxy `name`, in the folder that its processes share.
     pub fn of_proxy(name: &str) -> Self {
-        let plain_name: String = name.chars().filter(char::is_ascii_alphanumeric).collect();
-        let folder = std::env::var_os(FOLDER_VARIABLE).filter(|folder| !folder.is_empty());
-        let file = format!("calicobeam-{plain_name}-maintenance.json");
-        Self(folder.map(|folder| PathBuf::from(folder).join(file)))
+        Self(shared_folder::file_of_proxy(name, FILE_NAME))
     }
 
     /// A maintenance file at `path`.
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -8,6 +8,7 @@
 //! | [`config`], [`subsystem_configs`], [`signed_urls`] | configuration files of operators and the platform |
 //! | [`descriptors`], [`engine_setup`] | the file descriptor budget, and engine creation within it |
 //! | [`bind`], [`inherit`] | binding of sockets, or inheriting one from the platform |
+//! | [`shared_folder`] | files that the processes of one proxy share |
 //! | [`maintenance`] | persistence of endpoint maintenance |
 //! | [`signals`], [`reload`] | signal handling, and logging of configuration reloads |
 //! | [`supervisor`] | restart of tasks that panicked |
@@ -21,6 +22,7 @@
 pub mod maintenance;
 pub mod reload;
 pub mod serve;
+pub mod shared_folder;
 pub mod signals;
 pub mod signed_urls;
 pub mod subsystem;
--- a/src/purge/lock_file.rs
+++ b/src/purge/lock_file.rs
@@ -24,7 +24,7 @@
         source: std::io::Error,
     },
     /// Another process holds the lock.
-    #[error("lock file {path}: another process has held the lock for more than {} ms", waited.as_millis())]
+    #[error("lock file {path}: another process holds the lock (waited for {} ms)", waited.as_millis())]
     Held {
         /// The path of the lock file.
         path: PathBuf,
@@ -64,19 +64,31 @@
         let deadline = Instant::now() + waited;
         loop {
             match self.file.try_lock() {
-                Ok(()) => break,
-                Err(TryLockError::Error(source)) => {
-                    return Err(LockError::Io { path: self.path.clone(), operation: "lock", source });
+                Err(TryLockError::WouldBlock) if Instant::now() < deadline => {
+                    std::thread::sleep(RETRY_INTERVAL);
                 }
-                Err(TryLockError::WouldBlock) if Instant::now() >= deadline => {
-                    self.timed_out = true;
-                    return Err(LockError::Held { path: self.path.clone(), waited });
+                result => {
+                    self.timed_out = matches!(result, Err(TryLockError::WouldBlock));
+                    return self.held(result, waited);
                 }
-                Err(TryLockError::WouldBlock) => std::thread::sleep(RETRY_INTERVAL),
             }
         }
-        self.timed_out = false;
-        Ok(FileLock { file: self.file.clone() })
+    }
+
+    /// Takes the lock together with other processes that take it in this way, without waiting.
+    pub fn try_acquire_shared(&self) -> Result<FileLock, LockError> {
+        self.held(self.file.try_lock_shared(), Duration::ZERO)
+    }
+
+    /// The lock that `result` reports as taken, or why it was not taken.
+    fn held(&self, result: Result<(), TryLockError>, waited: Duration) -> Result<FileLock, LockError> {
+        match result {
+            Ok(()) => Ok(FileLock { file: self.file.clone() }),
+            Err(TryLockError::WouldBlock) => Err(LockError::Held { path: self.path.clone(), waited }),
+            Err(TryLockError::Error(source)) => {
+                Err(LockError::Io { path: self.path.clone(), operation: "lock", source })
+            }
+        }
     }
 }
 
--- a/tests/purge_upgrade.rs
+++ b/tests/purge_upgrade.rs
@@ -95,3 +95,32 @@
         wait_for_status(new.admin, "done", purge.seq).await;
     });
 }
+
+/// Guards against two purges with one number where the processes of an upgrade have no log to share: the new
+/// one numbered from 1 again. It does not start, and the old one goes on.
+#[test]
+fn a_leader_without_a_log_refuses_to_start_beside_another_process_and_starts_after_it() {
+    run(async {
+        let fleet = Fleet::start(63).await;
+        let dir = test_dir("purges-upgrade-memory");
+        let _ = std::fs::remove_file(dir.join("edge-1-state.log"));
+        let with_log = leader_config("edge-1", &format!(",\"roster_port\":{}", fleet.purge_port));
+        let without_log = with_log.replace("\"state\":\"edge-1-state.log\",", "");
+        let listener = TcpListener::bind("127.0.63.10:0").unwrap();
+        let mut old = Proxy::start_on(&listener, &dir, "old", &fleet, &without_log).await;
+        assert_eq!(submit(old.admin, "tag:t1").await.unwrap().seq, 1);
+        for config in [&without_log, &with_log] {
+            let error = Proxy::fail_to_start_on(&listener, &dir, "new", &fleet, config).await;
+            assert!(
+                error.contains("field `state`: the leader \"edge-1\" runs in another process"),
+                "{error}"
+            );
+        }
+        assert_eq!(submit(old.admin, "tag:t2").await.unwrap().seq, 2, "the old process goes on");
+        old.kill();
+        let new = Proxy::start_on(&listener, &dir, "new", &fleet, &with_log).await;
+        assert!(submit(new.admin, "tag:t3").await.is_ok());
+        let error = Proxy::fail_to_start_on(&listener, &dir, "newer", &fleet, &without_log).await;
+        assert!(error.contains("field `state`"), "{error}");
+    });
+}
--- a/tests/stand_ins/purge_fleet.rs
+++ b/tests/stand_ins/purge_fleet.rs
@@ -112,6 +112,28 @@
         proxy
     }
 
+    /// Starts a process on a listening socket as [`Self::start_on`] does, which must end by itself with an
+    /// error. Returns what it wrote to the standard error.
+    pub async fn fail_to_start_on(
+        listener: &TcpListener,
+        dir: &Path,
+        name: &str,
+        fleet: &Fleet,
+        purge_config: &str,
+    ) -> String {
+        let listen = listener.local_addr().unwrap();
+        let inherited = Some(listener.try_clone().unwrap());
+        let mut proxy = Self::spawn(dir, name, listen, inherited, fleet, purge_config);
+        for _ in 0..1_000 {
+            if let Some(status) = proxy.child.try_wait().unwrap() {
+                assert!(!status.success(), "the process ended without an error");
+                return std::fs::read_to_string(&proxy.stderr_path).unwrap();
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the process did not end");
+    }
+
     fn spawn(
         dir: &Path,
         name: &str,
@@ -146,6 +168,8 @@
                 let mut command = Command::new("sh");
                 command.args(["-c", "exec \"$0\" \"$@\" 3<&0 </dev/null", PROGRAM]);
                 command.env("NODE_INHERITED_FD", "3");
+                // The processes of one proxy share this folder.
+                command.env("TMPDIR", config_path.parent().unwrap());
                 command.stdin(Stdio::from(OwnedFd::from(listener.try_clone().unwrap())));
                 command
             }
