--- a/src/admission/fair_queue.rs
+++ b/src/admission/fair_queue.rs
@@ -19,7 +19,7 @@
 //! **Retry-after times.** A request that cannot be served before its deadline is shed immediately. Its
 //! retry-after time is the start of the first slot with room after the expected wait. The slot is reserved in
 //! [`ReservationTable`]: a retry at that time takes precedence over the round-robin queues. If no slot can be
-//! reserved, the longest retry-after time is returned.
+//! reserved, the longest retry-after time is returned, and no capacity is promised at that time.
 
 use super::bounds::AdmissionBounds;
 use super::concurrency_limit::{ConcurrencyLimit, LimitSettings};
--- a/src/engine/attempts.rs
+++ b/src/engine/attempts.rs
@@ -12,7 +12,8 @@
 use crate::{AttemptOutcome, CacheStatus, EndpointId, Event, Micros, RequestId};
 
 /// An attempt that times out closes its connection if nothing was read on it for longer than this since the
-/// attempt was written, in milliseconds, because the endpoint may be unreachable.
+/// attempt was written, in milliseconds, because the endpoint may be unreachable. A new connection shows at
+/// once whether it still responds.
 const MAX_SILENCE_MS: f64 = 1_500.0;
 /// Number of consecutive time-outs, with nothing read in between, at which a connection is closed.
 const MAX_TIMEOUTS_SINCE_READ: u32 = 2;
--- a/src/engine/connections.rs
+++ b/src/engine/connections.rs
@@ -40,7 +40,8 @@
         self.end_connection(conn, AttemptOutcome::ConnectionLost);
     }
 
-    /// Ends a connection that was dropped because of malformed data or a stalled reply.
+    /// Ends a connection that was dropped because of malformed data or a stalled reply: nothing that it may
+    /// still deliver is usable.
     pub fn connection_dropped(&mut self, conn: ConnectionId) {
         self.counters.connections_dropped += 1;
         self.end_connection(conn, AttemptOutcome::Malformed);
--- a/src/engine/membership.rs
+++ b/src/engine/membership.rs
@@ -163,7 +163,8 @@
         &self.maintenance
     }
 
-    /// The listed caches and parents, at their own IP addresses with `port`, sorted by name.
+    /// The listed caches and parents, at their own IP addresses with `port`, sorted by name. The origin is
+    /// left out, as it holds no copies.
     pub fn cache_servers(&self, port: u16) -> Vec<CacheServer> {
         let listed = self.membership.all_listed();
         let present = listed.filter(|endpoint| endpoint.record.state != EndpointState::Removed);
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -19,7 +19,7 @@
 const REPEATED_REQUEST_RANK: u8 = 2;
 /// Retention rank of a response that is not cached.
 const UNCACHEABLE_RANK: u8 = 0;
-/// Mean `retry_after` of rejected requests, in microseconds.
+/// Mean `retry_after` of rejected requests, in microseconds. A later retry earns the client little.
 const RETRY_AFTER: f64 = 120_000.0;
 /// Minimum of the random factor on [`RETRY_AFTER`]; the factor is uniform over an interval of length 1.
 const MIN_RETRY_AFTER_FACTOR: f64 = 0.5;
--- a/src/policy/attribution.rs
+++ b/src/policy/attribution.rs
@@ -10,12 +10,13 @@
 const FULL_WEIGHT: f64 = 1.0;
 /// Weight of a failure that can only be the endpoint's own, such as a refused connection.
 const CONCLUSIVE_FAILURE: f64 = 2.0;
-/// Weight of a lost connection, which does not show whether the process has died.
+/// Weight of a lost connection, which does not show whether the process has died. A single one is tolerated:
+/// if the process died, the next connect fails.
 const LOST_CONNECTION: f64 = 0.25;
 /// Weight of a late response, which may also be due to overload.
 const LATE_RESPONSE: f64 = 0.5;
 /// Weight of a timely response for its fill source if the cache status is not reported, so that it may be a
-/// hit.
+/// hit. Most are.
 const UNCONFIRMED_FILL: f64 = 0.1;
 /// Suspicion of an endpoint without bad outcomes; the share of bad ones is added to it.
 const MIN_SUSPICION: f64 = 0.1;
@@ -121,7 +122,9 @@
     }
 
     /// Splits a failure between a path's cache and fill source in proportion to their suspicion; if only one
-    /// of them is clearly suspect, it gets the whole failure.
+    /// of them is clearly suspect, it gets the whole failure. Their outcomes on other paths tell them apart:
+    /// a cache that fails with every source is at fault itself, as is a source that fails through every
+    /// cache.
     fn split_failure(&mut self, now: Micros, path: AttemptPath, weight: f64) {
         let source = path.fill_source();
         let cache_suspicion = self.suspicion(now, path.to);
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -6,7 +6,8 @@
 use crate::stats::LeakyBucket;
 use std::collections::BTreeSet;
 
-/// Capacity, in concurrent transfers, of an endpoint for which the list contains none.
+/// Capacity, in concurrent transfers, of an endpoint for which the list contains none: that of a
+/// small machine.
 const DEFAULT_CAPACITY: f64 = 4.0;
 
 /// A listed endpoint with this router's observations since its process started.
--- a/src/policy/health_checks.rs
+++ b/src/policy/health_checks.rs
@@ -7,7 +7,7 @@
 /// Consecutive failures after which a cache is checked, and consecutive unanswered checks after which an
 /// endpoint is down.
 const MIN_FAILURES: u32 = 2;
-/// Minimum time between checks of an endpoint that responds, in microseconds.
+/// Minimum time between checks of an endpoint that responds, in microseconds, since each check has a cost.
 const MIN_CHECK_GAP: Micros = 3_000_000;
 /// Delay from an unanswered check to the next one, in microseconds.
 const RECHECK_DELAY: Micros = 300_000;
@@ -18,8 +18,8 @@
 
 impl Router {
     /// Counts a failed attempt of an endpoint and requests a health check if needed, as failures alone do not
-    /// distinguish a process that has died from an overloaded one. `conclusive` marks a failure that can only
-    /// be the endpoint's own.
+    /// distinguish a process that has died from an overloaded one: one router sees too few of them.
+    /// `conclusive` marks a failure that can only be the endpoint's own.
     pub(super) fn record_failure(
         &mut self,
         now: Micros,
--- a/src/policy/load_shedding.rs
+++ b/src/policy/load_shedding.rs
@@ -9,10 +9,11 @@
 use crate::interface::*;
 use crate::stats::{unit_hash, ShareRates};
 
-/// Rates at which outcomes of fills change the origin fetch share.
+/// Rates at which outcomes of fills change the origin fetch share. Links and parents make fills late as well,
+/// so a timely fill counts for little and a late one for much.
 const FILL_RATES: ShareRates = ShareRates { increase_per_s: 0.1, decay_per_s: 6.0, max_gap_s: 1.0 };
 /// Rates at which outcomes of writes change the origin fetch share. Writes are rare, so each may count for a
-/// longer gap.
+/// longer gap, but they always run at the origin.
 const WRITE_RATES: ShareRates = ShareRates { increase_per_s: 1.0, decay_per_s: 2.0, max_gap_s: 3.0 };
 /// Index of fills among the kinds of outcomes of the origin fetch share.
 const FILL_OUTCOMES: usize = 0;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -10,7 +10,7 @@
 use crate::interface::*;
 use crate::stats::{mix, rendezvous_first, rendezvous_order, unit_hash};
 
-/// Load at or above which a cache's objects spill over to other caches.
+/// Load at or above which a cache's objects spill over to other caches, where they are misses.
 const SPILL_OVER_LOAD: f64 = 4.0;
 /// Minimum number of recent requests for an object to be spread over two caches.
 const REQUESTS_FOR_TWO_CACHES: f32 = 2.0;
@@ -74,7 +74,8 @@
     }
 
     /// The number of caches over which a request's object is spread. The local count is extrapolated to all
-    /// routers of the location. The first part is not spread, so that an object of one part never moves.
+    /// routers of the location, as if each saw as many requests, so that they agree. The first part is not
+    /// spread, so that an object of one part never moves.
     fn spread(&self, request: &PendingRequest) -> usize {
         if request.part == 0 {
             return 1;
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -32,7 +32,8 @@
     }
 
     /// The load charged initially to a new process's budget: a random fraction of the longest mean transfer
-    /// time of any class, so that the routers do not all send their first request at the same time.
+    /// time of any class, so that the routers do not all send their first request at the same time, which
+    /// together would exceed the sum of their budgets.
     pub(super) fn initial_warm_up_load(&mut self) -> f64 {
         let longest = self.latency.iter().map(|estimate| estimate.transfer_time).fold(0.0, f64::max);
         // 3 is the purpose of these draws, which makes them independent of those of `retry_after`.
--- a/src/state/client_slots.rs
+++ b/src/state/client_slots.rs
@@ -7,7 +7,8 @@
 
 /// How long a new connection that has sent nothing is protected from eviction, in milliseconds.
 const FIRST_BYTE_GRACE_MS: f64 = 100.0;
-/// How long a connection that is receiving a request is protected from eviction, in milliseconds.
+/// How long a connection that is receiving a request is protected from eviction, in milliseconds. A
+/// well-behaved client sends its request in one go.
 const REQUEST_ARRIVAL_GRACE_MS: f64 = 500.0;
 
 /// The activity of a client connection; times in Unix milliseconds.
--- a/src/state/connections.rs
+++ b/src/state/connections.rs
@@ -54,7 +54,8 @@
         !self.closing && !self.in_flight.contains_key(&id) && !self.excluded.contains(&id) && !is_queued()
     }
 
-    /// Excludes a request from this connection, because its attempt here has ended.
+    /// Excludes a request from this connection, because its attempt here has ended. Beyond `MAX_EXCLUDED`
+    /// requests, the oldest is dropped.
     pub fn exclude(&mut self, id: RequestId) {
         if self.excluded.insert(id) {
             self.excluded_order.push_back(id);
--- a/src/stats/hash.rs
+++ b/src/stats/hash.rs
@@ -1,4 +1,5 @@
-//! Unseeded hashes, and weighted rendezvous hashing (Thaler and Ravishankar, 1998).
+//! Unseeded hashes, which are the same in every process, and weighted rendezvous hashing (Thaler and
+//! Ravishankar, 1998).
 
 /// Hash of two numbers by the finalizer of SplitMix64. It is unseeded, so that all processes agree on it.
 pub fn mix(a: u64, b: u64) -> u64 {
--- a/src/wire/client_stream.rs
+++ b/src/wire/client_stream.rs
@@ -128,8 +128,8 @@
         }
     }
 
-    /// Whether the client has already disconnected. Checks repeatedly, since the end of its stream may follow
-    /// more bytes than one check reads.
+    /// Whether the client has already disconnected: one whose request waited for a connection slot may be long
+    /// gone. Checks repeatedly, since the end of its stream may follow more bytes than one check reads.
     pub async fn has_disconnected(&mut self) -> bool {
         for _ in 0..MAX_DISCONNECT_CHECKS {
             // Yields, so that the reactor polls the socket for bytes that followed the request.
@@ -161,7 +161,8 @@
 
     /// Closes the connection: shuts down this side and discards what the client still sends, so that no
     /// response is lost to a reset (lingering close, RFC 9112, section 9.6). Returns when the client closes,
-    /// after `LINGER_MS`, or when `cancelled` completes.
+    /// after `LINGER_MS`, or when `cancelled` completes. A request among the discarded bytes gets no
+    /// response; the end of the connection tells its client so.
     pub async fn close(mut self, cancelled: impl Future<Output = ()>) {
         let stream = self.framed.get_mut();
         if stream.shutdown().await.is_err() {
--- a/src/wire/discovery.rs
+++ b/src/wire/discovery.rs
@@ -1,7 +1,9 @@
 //! The watch on the discovery service: a connection over which endpoint lists and purges arrive as sequenced
 //! events.
 //!
-//! The watch reconnects whenever its connection ends, and resumes after the last event that was applied.
+//! The watch reconnects whenever its connection ends, and resumes after the last event that was applied: the
+//! platform counts an event as known to the proxy once the service has it, whether the proxy is connected or
+//! not.
 
 use super::discovery_codec::{Frame, FrameCodec, FrameError};
 use crate::clock::duration_from_ms;
--- a/src/wire/discovery/tests.rs
+++ b/src/wire/discovery/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 
-/// The proxies of a fleet must not all reconnect at the same time while the service is down.
+/// The proxies of a fleet must not all reconnect at the same time while the service is down: once, all of
+/// them reconnected every 50 ms, in step, for as long as it was down.
 #[test]
 fn backoff_grows_is_bounded_and_has_jitter() {
     let backoffs = |random| {
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -271,7 +271,8 @@
     }
 }
 
-/// The proxy must keep reading once its buffer is full, or it never reaches the end of the stream.
+/// The proxy must keep reading once its buffer is full, or it never reaches the end of the stream. It once
+/// stopped at 16 KiB on a front with pipelining, and noticed no close behind a full receive window.
 #[test]
 fn a_disconnect_after_a_flood_is_detected_with_and_without_pipelining() {
     for (pipelining, reset) in [(false, false), (false, true), (true, false), (true, true)] {
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -29,7 +29,8 @@
     }
 }
 
-/// If every router could send its saved retries at once, the fleet would overload a failing origin further.
+/// If every router could send its saved retries at once, the fleet would overload a failing origin further: a
+/// hundred routers that had saved twenty retries each once spent them within a second, and overloaded it.
 #[test]
 fn retries_of_a_hundred_routers_are_at_most_half_of_their_requests() {
     let mut fleet = routers(&large_fleet_settings(), &endpoints(), 100);
@@ -105,7 +106,9 @@
     );
 }
 
-/// A router must not take a few of its own concurrent attempts for an overload of the location.
+/// A router must not take a few of its own concurrent attempts for an overload of the location. One of eight
+/// routers with eleven attempts in flight to a cache once extrapolated them to ninety, and rejected one
+/// request in twenty on days without any fault.
 #[test]
 fn a_few_concurrent_attempts_by_chance_cause_no_rejections() {
     let mut router = routers(&large_fleet_settings(), &endpoints(), 1).remove(0);
@@ -122,8 +125,9 @@
     assert!(rejected_at.is_some_and(|n| (15..=25).contains(&n)), "{rejected_at:?}");
 }
 
-/// While the origin is slow, the fills of all routers decrease together, for the same objects. Writes
-/// continue, and fills resume after recovery.
+/// While the origin is slow, the fills of all routers decrease together, for the same objects, so that the
+/// other objects are filled once and then cached. Writes continue, and fills resume after recovery. If each
+/// router filled all that it is asked for, the fleet would overload the origin, which alone runs writes.
 #[test]
 fn late_responses_reduce_the_fills_of_all_routers_for_the_same_objects() {
     let mut fleet = routers(&large_fleet_settings(), &endpoints(), 100);
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -166,7 +166,8 @@
 
 // ---- outlier detection and load shedding ----
 
-/// In a large fleet, one router sends a parent less than one request in two seconds.
+/// In a large fleet, one router sends a parent less than one request in two seconds, and must still eject one
+/// that has died.
 #[test]
 fn a_failing_parent_is_ejected_at_a_low_request_rate_and_recovers() {
     let mut harness = Harness::new(settings(), endpoints());
@@ -193,7 +194,8 @@
     assert!((4_000..4_100).filter(|o| harness.serve_request(*o).source == Some(12)).count() > 15);
 }
 
-/// A long series of successes must not delay the ejection of a parent that fails.
+/// A long series of successes must not delay the ejection of a parent that fails: a silent parent once kept
+/// its share of objects for 8 s (office-media, big-2).
 #[test]
 fn a_source_that_fails_through_every_cache_is_ejected_within_sixty_requests() {
     let mut harness = Harness::new(settings(), endpoints());
@@ -257,7 +259,8 @@
     }
 }
 
-/// Failures that all caches have in common must not eject them all and send every request to the origin.
+/// Failures that all caches have in common must not eject them all and send every request to the origin, as
+/// in incident i3fcd68.
 #[test]
 fn if_all_attempts_fail_no_cache_is_ejected() {
     let mut harness = Harness::new(settings(), endpoints());
@@ -268,7 +271,8 @@
     assert_eq!(caches.into_iter().collect::<Vec<_>>(), [1, 2, 3, 4]);
 }
 
-/// The origin serves as a peer, so that outlier detection also works for a single parent.
+/// The origin serves as a peer, so that outlier detection also works for a single parent. In incident i7c60d7
+/// the last parent was slow and had no peer, and every fill waited for it.
 #[test]
 fn if_the_only_parent_fails_fills_come_from_the_origin() {
     let entries = endpoints().into_iter().filter(|e| e.tier != Tier::Parent || e.id == 11).collect();
@@ -286,7 +290,8 @@
     assert!(direct > 150, "{direct} of 200 fill from the origin");
 }
 
-/// Hits must not count as full successes of a fill source that was not contacted.
+/// Hits must not count as full successes of a fill source that was not contacted. In incident ic22892,
+/// without cache status, hits were credited to the dead parent that they named.
 #[test]
 fn without_cache_status_hits_do_not_prevent_the_ejection_of_a_failing_source() {
     let policy = PolicySettings { reports_cache_status: false, ..settings() };
@@ -321,7 +326,7 @@
     assert!(uses < 12, "{uses} of 60 requests fill from the failing parent");
 }
 
-/// Under lasting overload, admitting every request would make all responses late.
+/// Under lasting overload, admitting every request would make all responses late, as in the first incidents.
 #[test]
 fn requests_above_the_admitted_load_are_rejected_without_an_attempt() {
     let mut harness = Harness::new(settings(), endpoints());
@@ -345,7 +350,8 @@
 }
 
 /// Late responses of one class must not cause requests of another to be shed, and the congested class must
-/// accept stale copies.
+/// accept stale copies. In incident hc692b3 pages, late because of a slow origin, had videos rejected, and
+/// fresh copies came too late.
 #[test]
 fn a_congested_class_accepts_stale_copies_and_does_not_affect_others() {
     let mut harness = Harness::new(settings(), endpoints());
@@ -455,7 +461,7 @@
     (firsts.len(), firsts.iter().filter(|a| a.source == Some(a.to)).count())
 }
 
-/// If fills are late, cached copies must still be served.
+/// If fills are late, cached copies must still be served (incidents i08ccdd and i64ce8f).
 #[test]
 fn under_congestion_fills_are_shed_and_misses_are_rejected_at_once() {
     let mut harness = Harness::new(settings(), endpoints());
@@ -509,7 +515,8 @@
     assert!(count > 60, "{count} of 100 objects filled from the other parents");
 }
 
-/// Without parents, fills from all routers would overload a failing origin.
+/// Without parents, fills from all routers would overload a failing origin, as on office-media-later
+/// (overload).
 #[test]
 fn fills_from_the_origin_decrease_while_it_fails_and_recover_with_it() {
     let entries: Vec<_> = endpoints().into_iter().filter(|e| e.tier != Tier::Parent).collect();
@@ -565,7 +572,8 @@
     );
 }
 
-/// A restarted parent may respond before the endpoint list shows its new process.
+/// A restarted parent may respond before the endpoint list shows its new process: two parents once responded
+/// again within two seconds, before the list showed it (office-media-later, overload).
 #[test]
 fn an_endpoint_that_fails_a_health_check_gets_no_attempts_and_recovers_with_slow_start() {
     let mut harness = Harness::new(settings(), endpoints());
@@ -875,7 +883,7 @@
 }
 
 /// A burst of late responses with a common cause, such as a purge, must not reduce the capacity of a cache to
-/// its minimum.
+/// its minimum, which would reject most of what caches hold.
 #[test]
 fn a_burst_of_late_responses_reduces_a_caches_capacity_once() {
     let entries = vec![endpoint(1, Tier::Cache), endpoint(11, Tier::Parent), endpoint(21, Tier::Origin)];
