--- a/tests/purge_upgrade.rs
+++ b/tests/purge_upgrade.rs
@@ -10,8 +10,46 @@
 use stand_ins::{run, test_dir};
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::time::Duration;
 
+/// The log file of the leader `edge-1`.
+const LOG_FILE: &str = "edge-1-state.log";
+
+/// What the processes of an upgrade share: the fleet, a folder and the listening socket.
+struct Upgrade {
+    fleet: Fleet,
+    dir: PathBuf,
+    listener: TcpListener,
+    /// The purge file of a leader with a log.
+    config: String,
+}
+
+impl Upgrade {
+    async fn new(subnet: u8, name: &str) -> Self {
+        let fleet = Fleet::start(subnet).await;
+        let dir = test_dir(&format!("purges-upgrade-{name}"));
+        let _ = std::fs::remove_file(dir.join(LOG_FILE));
+        let listener = TcpListener::bind(format!("127.0.{subnet}.10:0")).unwrap();
+        let config = leader_config("edge-1", &format!(",\"roster_port\":{}", fleet.purge_port));
+        Self { fleet, dir, listener, config }
+    }
+
+    /// Starts a process, whose files have this name.
+    async fn start(&self, name: &str) -> Proxy {
+        Proxy::start_on(&self.listener, &self.dir, name, &self.fleet, &self.config).await
+    }
+
+    /// Asserts that every cache has applied the purges `1..=last`, each once and in order, and no cutoff.
+    fn assert_applied(&self, last: u64) {
+        for server in self.fleet.caches() {
+            let applied = server.observed.applied.borrow();
+            assert_eq!(*applied, (1..=last).collect::<Vec<u64>>(), "{}", server.name);
+            assert_eq!(server.observed.cutoffs.get(), 0, "{} purged everything", server.name);
+        }
+    }
+}
+
 /// Waits until the process at `admin` reports `key` as `value` in `GET /purges`.
 async fn wait_for_status(admin: SocketAddr, key: &str, value: u64) {
     for _ in 0..1_000 {
@@ -40,14 +78,10 @@
 #[test]
 fn both_processes_of_an_upgrade_issue_purges_with_consecutive_numbers_that_every_target_applies() {
     run(async {
-        let fleet = Fleet::start(61).await;
-        let dir = test_dir("purges-upgrade-numbers");
-        let _ = std::fs::remove_file(dir.join("edge-1-state.log"));
-        let config = leader_config("edge-1", &format!(",\"roster_port\":{}", fleet.purge_port));
-        let listener = TcpListener::bind("127.0.61.10:0").unwrap();
-        let mut old = Proxy::start_on(&listener, &dir, "old", &fleet, &config).await;
+        let upgrade = Upgrade::new(61, "numbers").await;
+        let mut old = upgrade.start("old").await;
         assert_eq!(submit_until_taken(old.admin, "tag:t1").await.seq, 1);
-        let new = Proxy::start_on(&listener, &dir, "new", &fleet, &config).await;
+        let new = upgrade.start("new").await;
         for seq in 2..=9 {
             let admin = if seq % 2 == 0 { new.admin } else { old.admin };
             let issued = submit_until_taken(admin, &format!("tag:t{seq}")).await;
@@ -60,15 +94,7 @@
         old.kill();
         assert_eq!(submit(new.admin, "tag:t10").await.unwrap().seq, 10);
         wait_for_status(new.admin, "done", 10).await;
-        for server in fleet.caches() {
-            assert_eq!(
-                *server.observed.applied.borrow(),
-                (1..=10).collect::<Vec<u64>>(),
-                "{} did not apply every purge once and in order",
-                server.name
-            );
-            assert_eq!(server.observed.cutoffs.get(), 0, "{} purged everything", server.name);
-        }
+        upgrade.assert_applied(10);
     });
 }
 
@@ -77,16 +103,13 @@
 #[test]
 fn a_purge_of_the_old_process_takes_effect_in_the_new_one_and_is_sent_after_the_old_one_is_killed() {
     run(async {
-        let fleet = Fleet::start(62).await;
-        let dir = test_dir("purges-upgrade-effect");
-        let _ = std::fs::remove_file(dir.join("edge-1-state.log"));
-        let config = leader_config("edge-1", &format!(",\"roster_port\":{}", fleet.purge_port));
-        let listener = TcpListener::bind("127.0.62.10:0").unwrap();
-        let mut old = Proxy::start_on(&listener, &dir, "old", &fleet, &config).await;
+        let upgrade = Upgrade::new(62, "effect").await;
+        let fleet = &upgrade.fleet;
+        let mut old = upgrade.start("old").await;
         let last_call_id = Cell::new(0);
         fleet.tag(0x200, "seller-8");
         assert_eq!(read_object(old.listen, 0x200, 7, &last_call_id).await.map(|a| a.0), Some(200));
-        let new = Proxy::start_on(&listener, &dir, "new", &fleet, &config).await;
+        let new = upgrade.start("new").await;
         // No cache gets the purge, and each would answer with its purged copy.
         for server in fleet.caches() {
             server.unreachable.set(true);
@@ -115,16 +138,13 @@
 #[test]
 fn a_leader_without_a_log_refuses_to_start_beside_another_process_and_starts_after_it() {
     run(async {
-        let fleet = Fleet::start(63).await;
-        let dir = test_dir("purges-upgrade-memory");
-        let _ = std::fs::remove_file(dir.join("edge-1-state.log"));
-        let with_log = leader_config("edge-1", &format!(",\"roster_port\":{}", fleet.purge_port));
-        let without_log = with_log.replace("\"state\":\"edge-1-state.log\",", "");
-        let listener = TcpListener::bind("127.0.63.10:0").unwrap();
-        let mut old = Proxy::start_on(&listener, &dir, "old", &fleet, &without_log).await;
+        let upgrade = Upgrade::new(63, "memory").await;
+        let Upgrade { fleet, dir, listener, config: with_log } = &upgrade;
+        let without_log = &with_log.replace("\"state\":\"edge-1-state.log\",", "");
+        let mut old = Proxy::start_on(listener, dir, "old", fleet, without_log).await;
         assert_eq!(submit(old.admin, "tag:t1").await.unwrap().seq, 1);
-        for config in [&without_log, &with_log] {
-            let error = Proxy::fail_to_start_on(&listener, &dir, "new", &fleet, config).await;
+        for config in [without_log, with_log] {
+            let error = Proxy::fail_to_start_on(listener, dir, "new", fleet, config).await;
             assert!(
                 error.contains("field `state`: the leader \"edge-1\" runs in another process"),
                 "{error}"
@@ -132,9 +152,9 @@
         }
         assert_eq!(submit(old.admin, "tag:t2").await.unwrap().seq, 2, "the old process goes on");
         old.kill();
-        let new = Proxy::start_on(&listener, &dir, "new", &fleet, &with_log).await;
+        let new = upgrade.start("new").await;
         assert!(submit(new.admin, "tag:t3").await.is_ok());
-        let error = Proxy::fail_to_start_on(&listener, &dir, "newer", &fleet, &without_log).await;
+        let error = Proxy::fail_to_start_on(listener, dir, "newer", fleet, without_log).await;
         assert!(error.contains("field `state`"), "{error}");
     });
 }
@@ -145,13 +165,8 @@
 fn concurrent_submissions_at_both_processes_get_every_number_once() {
     const SUBMISSIONS_EACH: u64 = 40;
     run(async {
-        let fleet = Fleet::start(64).await;
-        let dir = test_dir("purges-upgrade-concurrent");
-        let _ = std::fs::remove_file(dir.join("edge-1-state.log"));
-        let config = leader_config("edge-1", &format!(",\"roster_port\":{}", fleet.purge_port));
-        let listener = TcpListener::bind("127.0.64.10:0").unwrap();
-        let old = Proxy::start_on(&listener, &dir, "old", &fleet, &config).await;
-        let new = Proxy::start_on(&listener, &dir, "new", &fleet, &config).await;
+        let upgrade = Upgrade::new(64, "concurrent").await;
+        let (old, new) = (upgrade.start("old").await, upgrade.start("new").await);
         let submit_all = |admin: SocketAddr| async move {
             let mut numbers = Vec::new();
             for k in 0..SUBMISSIONS_EACH {
@@ -167,10 +182,7 @@
         for admin in [old.admin, new.admin] {
             wait_for_status(admin, "done", 2 * SUBMISSIONS_EACH).await;
         }
-        for server in fleet.caches() {
-            assert_eq!(*server.observed.applied.borrow(), every_number, "{}", server.name);
-            assert_eq!(server.observed.cutoffs.get(), 0, "{} purged everything", server.name);
-        }
+        upgrade.assert_applied(2 * SUBMISSIONS_EACH);
     });
 }
 
@@ -179,14 +191,10 @@
 #[test]
 fn a_held_lock_fails_submissions_but_no_reads_and_nothing_is_lost_when_it_is_free() {
     run(async {
-        let fleet = Fleet::start(65).await;
-        let dir = test_dir("purges-upgrade-stopped");
-        let log_path = dir.join("edge-1-state.log");
-        let _ = std::fs::remove_file(&log_path);
-        let config = leader_config("edge-1", &format!(",\"roster_port\":{}", fleet.purge_port));
-        let leader = Proxy::start(&dir, "edge-1", "127.0.65.10", &fleet, &config).await;
+        let upgrade = Upgrade::new(65, "held-lock").await;
+        let leader = upgrade.start("edge-1").await;
         assert_eq!(submit(leader.admin, "tag:t1").await.unwrap().seq, 1);
-        let mut lock_file = LockFile::open(dir.join("edge-1-state.log.lock")).unwrap();
+        let mut lock_file = LockFile::open(upgrade.dir.join(format!("{LOG_FILE}.lock"))).unwrap();
         let lock = lock_file.acquire(Duration::from_secs(5)).unwrap();
         let (status, message) = submit(leader.admin, "tag:t2").await.unwrap_err();
         assert_eq!(status, 500);
--- a/tests/stand_ins/purge_fleet.rs
+++ b/tests/stand_ins/purge_fleet.rs
@@ -105,9 +105,7 @@
         fleet: &Fleet,
         purge_config: &str,
     ) -> Self {
-        let listen = listener.local_addr().unwrap();
-        let inherited = Some(listener.try_clone().unwrap());
-        let mut proxy = Self::spawn(dir, name, listen, inherited, fleet, purge_config);
+        let mut proxy = Self::spawn_on(listener, dir, name, fleet, purge_config);
         proxy.wait_until_ready().await;
         proxy
     }
@@ -121,9 +119,7 @@
         fleet: &Fleet,
         purge_config: &str,
     ) -> String {
-        let listen = listener.local_addr().unwrap();
-        let inherited = Some(listener.try_clone().unwrap());
-        let mut proxy = Self::spawn(dir, name, listen, inherited, fleet, purge_config);
+        let mut proxy = Self::spawn_on(listener, dir, name, fleet, purge_config);
         for _ in 0..1_000 {
             if let Some(status) = proxy.child.try_wait().unwrap() {
                 assert!(!status.success(), "the process ended without an error");
@@ -134,6 +130,12 @@
         panic!("the process did not end");
     }
 
+    fn spawn_on(listener: &TcpListener, dir: &Path, name: &str, fleet: &Fleet, purge_config: &str) -> Self {
+        let listen = listener.local_addr().unwrap();
+        let inherited = Some(listener.try_clone().unwrap());
+        Self::spawn(dir, name, listen, inherited, fleet, purge_config)
+    }
+
     fn spawn(
         dir: &Path,
         name: &str,
