Write the maintenance file under a lock, so that neither process of an upgrade loses a call

A call reads the file, merges it and replaces it whole; between the two steps of one process the other one can replace the file. Both calls then get 200, and one record is gone: the other process goes on using that cache, and after the old process ends nobody knows of the call.

Reading, merging and replacing are under the lock of the file now (`MaintenanceFile::store`); a call that gets no lock within 250 ms gets 500, as for any change that is not stored. `lock_file` moves from `purge` to the leaves, unchanged but for `open_beside`.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -80,6 +80,7 @@
 pub mod http_client;
 mod interface;
 pub mod lifecycle;
+pub mod lock_file;
 pub mod message_auth;
 mod policy;
 pub mod purge;
--- a/src/lifecycle/maintenance.rs
+++ b/src/lifecycle/maintenance.rs
@@ -5,15 +5,19 @@
 use crate::config_file::read_json;
 use crate::engine::executor::Executor;
 use crate::lifecycle::shared_folder;
+use crate::lock_file::LockFile;
 use crate::state::maintenance::MaintenanceCall;
 use crate::text::{format_endpoint_id, parse_endpoint_id};
 use crate::EndpointId;
 use serde::Deserialize;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Interval between reads, in milliseconds. Changes by the other process must take effect here within 1 s.
 const READ_INTERVAL_MS: f64 = 200.0;
+/// How long a call waits while the other process writes the file. The wait blocks the event loop.
+const LOCK_TIMEOUT: Duration = Duration::from_millis(250);
 /// The name of the file in the shared folder.
 const FILE_NAME: &str = "maintenance.json";
 
@@ -71,10 +75,19 @@
         }
     }
 
-    /// Writes the current maintenance state. The file is replaced atomically, so that the other process never
-    /// reads a partial file.
-    pub fn write(&self, executor: &Rc<Executor>) -> Result<(), std::io::Error> {
+    /// Merges the file's records into the engine's maintenance state, and writes that. Under the file's lock, so
+    /// that nothing is lost that the other process writes at the same time.
+    pub fn store(&self, executor: &Rc<Executor>) -> Result<(), std::io::Error> {
         let Some(path) = &self.0 else { return Ok(()) };
+        let mut lock_file = LockFile::open_beside(path).map_err(std::io::Error::other)?;
+        let _lock = lock_file.acquire(LOCK_TIMEOUT).map_err(std::io::Error::other)?;
+        self.load(executor);
+        Self::write(path, executor)
+    }
+
+    /// Writes the engine's maintenance state. The file is replaced atomically, so that the other process never
+    /// reads a partial file.
+    fn write(path: &Path, executor: &Rc<Executor>) -> Result<(), std::io::Error> {
         let records: Vec<String> =
             executor.with(|engine| engine.maintenance().iter().map(StoredRecord::encode).collect());
         let temporary = path.with_extension(std::process::id().to_string());
--- a/src/purge/lock_file.rs
+++ b/src/lock_file.rs
@@ -2,11 +2,13 @@
 //! The operating system releases it when its process ends, however it ends.
 
 use std::fs::{File, OpenOptions, TryLockError};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
+/// Suffix that the name of a lock file adds to that of the file it protects.
+const SUFFIX: &str = ".lock";
 /// Interval between attempts to take the lock.
 const RETRY_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -49,7 +51,19 @@
     file: Arc<File>,
 }
 
+/// A path next to `path`, with a suffix added to the file's name.
+pub fn path_with_suffix(path: &Path, suffix: &str) -> PathBuf {
+    let mut name = path.to_path_buf().into_os_string();
+    name.push(suffix);
+    PathBuf::from(name)
+}
+
 impl LockFile {
+    /// Opens the lock file of the file at `path`, or creates it: `path` with `.lock` added.
+    pub fn open_beside(path: &Path) -> Result<Self, LockError> {
+        Self::open(path_with_suffix(path, SUFFIX))
+    }
+
     /// Opens the lock file at `path`, or creates it.
     pub fn open(path: PathBuf) -> Result<Self, LockError> {
         match OpenOptions::new().write(true).create(true).truncate(false).open(&path) {
--- a/src/purge/journal.rs
+++ b/src/purge/journal.rs
@@ -5,10 +5,10 @@
 
 use super::active_purges::{ActivePurges, Purge, PurgeStamp};
 use super::config::{PurgeConfig, Role};
-use super::lock_file::FileLock;
 use super::log::{LogContents, LogError, PurgeLog, TruncatedTail};
 use super::log_record::{Record, Snapshot};
 use super::metrics::{LogFile, PurgeMetrics, ReplicaStatus};
+use crate::lock_file::FileLock;
 use std::collections::BTreeMap;
 
 /// Whether an append waits until the record is on disk.
--- a/src/purge/log.rs
+++ b/src/purge/log.rs
@@ -1,6 +1,6 @@
 //! The purge log on disk: an append-only file of records (see [`super::log_record`]), which all processes of
 //! one replica share, for example the two processes of an upgrade. Whoever holds its lock
-//! ([`super::lock_file`]) reads what the others have appended, and only then appends. The lock is on a file of
+//! ([`crate::lock_file`]) reads what the others have appended, and only then appends. The lock is on a file of
 //! its own, because compaction replaces the log.
 //!
 //! Opening reads the records up to the first invalid one, truncates the file there, and logs and returns the
@@ -13,8 +13,8 @@
 //! a crash leaves one of the two files complete. Another process notices that the path names a new file, and
 //! reads that one from its start.
 
-use super::lock_file::{FileLock, LockError, LockFile};
 use super::log_record::{decode, encode, DecodedLog, Record, RecordFault, MAGIC, MAX_PURGE_RECORD_BYTES};
+use crate::lock_file::{path_with_suffix, FileLock, LockError, LockFile};
 use serde::Serialize;
 use std::fs::{File, Metadata, OpenOptions};
 use std::io::Write;
@@ -25,8 +25,6 @@
 
 /// Maximum size of a log file, in bytes.
 pub const MAX_FILE_BYTES: u64 = 1 << 30;
-/// Suffix that the name of the lock file adds to that of the log.
-const LOCK_FILE_SUFFIX: &str = ".lock";
 /// Suffix of the file that a compaction writes before it replaces the log.
 const REPLACEMENT_SUFFIX: &str = ".new";
 /// How long the start of a process waits for the lock. Another process holds it for one write and its fsync,
@@ -138,13 +136,6 @@
     move |source| LogError::Io { path: path.to_path_buf(), operation, source }
 }
 
-/// A path next to `path`, with a suffix added to the file's name.
-fn with_suffix(path: &Path, suffix: &str) -> PathBuf {
-    let mut name = path.to_path_buf().into_os_string();
-    name.push(suffix);
-    PathBuf::from(name)
-}
-
 /// Opens a log's file, or creates an empty one.
 fn open_file(path: &Path) -> Result<(File, FileId), LogError> {
     let file =
@@ -156,7 +147,7 @@
 impl PurgeLog {
     /// Opens a log, or creates an empty one. Reads its records, and truncates it at the first invalid one.
     pub fn open(path: &Path) -> Result<OpenedLog, LogError> {
-        let mut lock_file = LockFile::open(with_suffix(path, LOCK_FILE_SUFFIX))?;
+        let mut lock_file = LockFile::open_beside(path)?;
         let lock = lock_file.acquire(OPEN_LOCK_TIMEOUT)?;
         let (file, file_id) = open_file(path)?;
         let mut log = Self { path: path.to_path_buf(), file, file_id, lock_file, size_bytes: 0 };
@@ -293,7 +284,7 @@
 
     /// Replaces the log with these records, atomically.
     pub fn rewrite(&mut self, _lock: &FileLock, records: &[Record]) -> Result<(), LogError> {
-        let replacement = with_suffix(&self.path, REPLACEMENT_SUFFIX);
+        let replacement = path_with_suffix(&self.path, REPLACEMENT_SUFFIX);
         let mut bytes = MAGIC.to_vec();
         for record in records {
             bytes.extend(encode(record)?);
--- a/src/purge/mod.rs
+++ b/src/purge/mod.rs
@@ -9,7 +9,7 @@
 //! | [`age_limit`] | the age limit of attempts and the check of replies | none |
 //! | [`fanout`] | replication: batches, acknowledgements, retries, low-water mark | none |
 //! | [`log_record`] | the records of the log and their encoding | none |
-//! | [`log`], [`lock_file`] | the append-only log, and the lock under which its processes write it | a file |
+//! | [`log`] | the append-only log, which several processes write under a lock | a file |
 //! | [`leader`], [`follower`], [`replica`] | issuing, applying and acknowledging purges | the log |
 //! | `journal`, `logged_state` | the log with its sequence numbers; the state that it contains | the log |
 //! | [`wire`] | the JSON bodies of the HTTP calls | none |
@@ -28,7 +28,6 @@
 mod index;
 mod journal;
 pub mod leader;
-pub mod lock_file;
 pub mod log;
 pub mod log_record;
 mod logged_state;
--- a/tests/admin_calls.rs
+++ b/tests/admin_calls.rs
@@ -12,8 +12,11 @@
 
 async fn start_with_admin(name: &str) -> (TestProxy, SocketAddr, SocketAddr) {
     let proxy = TestProxy::start(name).await;
-    let store = MaintenanceFile::at(test_dir(name).join("maintenance.json"));
-    let front: Rc<dyn Front> = Rc::new(AdminFront::new(Box::new(move |executor: &_| store.write(executor))));
+    let path = test_dir(name).join("maintenance.json");
+    // A file of an earlier run has calls that are later than the manual clock's.
+    let _ = std::fs::remove_file(&path);
+    let store = MaintenanceFile::at(path);
+    let front: Rc<dyn Front> = Rc::new(AdminFront::new(Box::new(move |executor: &_| store.store(executor))));
     let admin = proxy.listen(front).await;
     let front: Rc<dyn Front> = Rc::new(Platform::new(limits(400)));
     let platform = proxy.listen(front).await;
--- a/tests/purge_upgrade.rs
+++ b/tests/purge_upgrade.rs
@@ -3,7 +3,7 @@
 
 mod stand_ins;
 
-use edge_proxy::purge::lock_file::LockFile;
+use edge_proxy::lock_file::LockFile;
 use edge_proxy::purge::wire::SubmitResponse;
 use simd_json::prelude::*;
 use stand_ins::purge_fleet::{get_json, leader_config, read_object, submit, wait_until, Fleet, Proxy};
@@ -194,7 +194,7 @@
         let upgrade = Upgrade::new(65, "held-lock").await;
         let leader = upgrade.start("edge-1").await;
         assert_eq!(submit(leader.admin, "tag:t1").await.unwrap().seq, 1);
-        let mut lock_file = LockFile::open(upgrade.dir.join(format!("{LOG_FILE}.lock"))).unwrap();
+        let mut lock_file = LockFile::open_beside(&upgrade.dir.join(LOG_FILE)).unwrap();
         let lock = lock_file.acquire(Duration::from_secs(5)).unwrap();
         let (status, message) = submit(leader.admin, "tag:t2").await.unwrap_err();
         assert_eq!(status, 500);
