Start a leader of fleet purges whose lock can't be created, and log a warning

It starts now, as without $TMPDIR, and a warning says that another process would not be noticed. The lock's name has the whole listen address, since two proxies of one name may have one port at two addresses of a host.

--- a/src/lifecycle/subsystems/purges.rs
+++ b/src/lifecycle/subsystems/purges.rs
@@ -42,9 +42,10 @@
 
 /// Excludes another process of this leader that numbers purges on its own, as two processes of an upgrade
 /// would if one of them has no log. A leader without a log is the only process; those with a log share it.
+/// Without a shared folder that can be written, other processes are not noticed.
 fn lock_numbering(config: &PurgeConfig, context: &Context) -> Result<Option<FileLock>, ServeError> {
     let listen = context.config.listen_address().map_err(ServeError::field("listen"))?;
-    let file = format!("purges-{}.lock", listen.port());
+    let file = format!("purges-{}.lock", listen.to_string().replace(':', "-"));
     let Some(path) = shared_folder::file_of_proxy(&context.config.name, &file) else { return Ok(None) };
     let taken = LockFile::open(path).and_then(|mut lock_file| match config.log_path {
         Some(_) => lock_file.try_acquire_shared(),
@@ -57,7 +58,10 @@
              number purges on their own: set `state` for both, or stop the other process first ({error})",
             config.name
         ))),
-        Err(error) => Err(ServeError::field("state")(error)),
+        Err(error @ LockError::Io { .. }) => {
+            tracing::warn!(%error, "purges: another process of this leader would not be noticed");
+            Ok(None)
+        }
     }
 }
 
--- a/tests/purge_upgrade.rs
+++ b/tests/purge_upgrade.rs
@@ -213,3 +213,16 @@
         wait_for_status(leader.admin, "done", 2).await;
     });
 }
+
+/// Guards against a leader that does not start because its lock can't be created in `$TMPDIR`.
+#[test]
+fn a_leader_without_a_shared_folder_starts_and_logs_that_other_processes_go_unnoticed() {
+    run(async {
+        let upgrade = Upgrade::new(67, "no-folder").await;
+        let Upgrade { fleet, dir, listener, config } = &upgrade;
+        let leader = Proxy::start_without_shared_folder(listener, dir, "edge-1", fleet, config).await;
+        assert_eq!(submit_until_taken(leader.admin, "tag:t1").await.seq, 1);
+        let log = leader.log();
+        assert!(log.contains("another process of this leader would not be noticed"), "{log}");
+    });
+}
--- a/tests/stand_ins/purge_fleet.rs
+++ b/tests/stand_ins/purge_fleet.rs
@@ -84,8 +84,14 @@
     config_path: PathBuf,
     purge_config_path: PathBuf,
     stderr_path: PathBuf,
-    /// The listening socket that this process inherits, if any.
-    inherited: Option<TcpListener>,
+    inherited: Option<Inherited>,
+}
+
+/// What a process of an upgrade shares with the other one.
+struct Inherited {
+    listener: TcpListener,
+    /// Its `$TMPDIR`.
+    shared_folder: PathBuf,
 }
 
 impl Proxy {
@@ -130,17 +136,39 @@
         panic!("the process did not end");
     }
 
+    /// Starts a process on a listening socket as [`Self::start_on`] does, whose `$TMPDIR` does not exist.
+    pub async fn start_without_shared_folder(
+        listener: &TcpListener,
+        dir: &Path,
+        name: &str,
+        fleet: &Fleet,
+        purge_config: &str,
+    ) -> Self {
+        let inherited =
+            Inherited { listener: listener.try_clone().unwrap(), shared_folder: dir.join("missing") };
+        let listen = listener.local_addr().unwrap();
+        let mut proxy = Self::spawn(dir, name, listen, Some(inherited), fleet, purge_config);
+        proxy.wait_until_ready().await;
+        proxy
+    }
+
+    /// What the process has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.stderr_path).unwrap()
+    }
+
     fn spawn_on(listener: &TcpListener, dir: &Path, name: &str, fleet: &Fleet, purge_config: &str) -> Self {
+        let inherited =
+            Inherited { listener: listener.try_clone().unwrap(), shared_folder: dir.to_path_buf() };
         let listen = listener.local_addr().unwrap();
-        let inherited = Some(listener.try_clone().unwrap());
-        Self::spawn(dir, name, listen, inherited, fleet, purge_config)
+        Self::spawn(dir, name, listen, Some(inherited), fleet, purge_config)
     }
 
     fn spawn(
         dir: &Path,
         name: &str,
         listen: SocketAddr,
-        inherited: Option<TcpListener>,
+        inherited: Option<Inherited>,
         fleet: &Fleet,
         purge_config: &str,
     ) -> Self {
@@ -160,18 +188,17 @@
         config_path: &Path,
         purge_config_path: &Path,
         stderr_path: &Path,
-        inherited: Option<&TcpListener>,
+        inherited: Option<&Inherited>,
     ) -> Child {
         let stderr = std::fs::OpenOptions::new().create(true).append(true).open(stderr_path).unwrap();
         let mut command = match inherited {
             None => Command::new(PROGRAM),
-            Some(listener) => {
+            Some(Inherited { listener, shared_folder }) => {
                 // The shell moves the socket from its standard input to descriptor 3.
                 let mut command = Command::new("sh");
                 command.args(["-c", "exec \"$0\" \"$@\" 3<&0 </dev/null", PROGRAM]);
                 command.env("NODE_INHERITED_FD", "3");
-                // The processes of one proxy share this folder.
-                command.env("TMPDIR", config_path.parent().unwrap());
+                command.env("TMPDIR", shared_folder);
                 command.stdin(Stdio::from(OwnedFd::from(listener.try_clone().unwrap())));
                 command
             }
