Keep a foreign file unchanged and heal an older log that replace the purge log in service

A file that is not a log, put in the log's place, was refused by the first submission, but the second one took it for the known log and truncated it. An older copy of the log in its place was read and accepted, so that a restart would have issued numbers again; it is written again from memory now. Records that were read are not lost if the invalid tail behind them can't be truncated.

Both tests failed before: the restarted leader had last number 1 instead of 2; the second submission was taken.

--- a/src/purge/log.rs
+++ b/src/purge/log.rs
@@ -91,8 +91,8 @@
     pub truncated: Option<TruncatedTail>,
     /// Whether the records are those of the whole file, and not only those after the last read.
     pub is_whole_file: bool,
-    /// The file no longer contains the records that this process had read or written: something else than a
-    /// compaction deleted, emptied or shortened it.
+    /// The file no longer contains the records that this process had read or written, because it was deleted or
+    /// shortened.
     pub lost_records: bool,
 }
 
@@ -182,10 +182,7 @@
         let lost = LogContents { lost_records: true, ..LogContents::default() };
         let Some(on_disk) = self.metadata_of_path()? else { return Ok(lost) };
         if FileId::of(&on_disk) != self.file_id {
-            (self.file, self.file_id) = open_file(&self.path)?;
-            let contents = self.read_from_start()?;
-            // A compacted log begins with a snapshot.
-            return Ok(LogContents { lost_records: contents.records.is_empty(), ..contents });
+            return self.read_replaced();
         }
         if on_disk.len() < self.size_bytes {
             return Ok(lost);
@@ -194,6 +191,18 @@
         self.decode_tail(&encoded)
     }
 
+    /// Reads the new file at the path. If it is not a purge log, it is left unchanged.
+    fn read_replaced(&mut self) -> Result<LogContents, LogError> {
+        let (file, file_id) = open_file(&self.path)?;
+        let previous = (std::mem::replace(&mut self.file, file), self.file_id, self.size_bytes);
+        self.file_id = file_id;
+        let contents = self.read_from_start();
+        if contents.is_err() {
+            (self.file, self.file_id, self.size_bytes) = previous;
+        }
+        contents
+    }
+
     fn read_from_start(&mut self) -> Result<LogContents, LogError> {
         let bytes = self.read_bytes_from(0)?;
         self.size_bytes = MAGIC.len() as u64;
@@ -220,15 +229,17 @@
     /// Decodes the bytes that follow the first `size_bytes`, up to the end of the file.
     fn decode_tail(&mut self, encoded: &[u8]) -> Result<LogContents, LogError> {
         let DecodedLog { records, fault } = decode(encoded);
-        let start = self.size_bytes;
-        self.size_bytes += encoded.len() as u64;
+        let end = self.size_bytes + encoded.len() as u64;
         let truncated = match fault {
             Some(invalid) => {
-                let offset = start + invalid.offset as u64;
-                Some(self.truncate_at(offset, invalid.fault, records.len())?)
+                let offset = self.size_bytes + invalid.offset as u64;
+                let tail = TruncatedTail { offset, removed: end - offset, fault: invalid.fault };
+                self.truncate(&tail, records.len())?;
+                Some(tail)
             }
             None => None,
         };
+        self.size_bytes = truncated.as_ref().map_or(end, |tail| tail.offset);
         Ok(LogContents { records, truncated, ..LogContents::default() })
     }
 
@@ -239,21 +250,14 @@
         sync_directory(&self.path)
     }
 
-    fn truncate_at(
-        &mut self,
-        offset: u64,
-        fault: RecordFault,
-        intact_records: usize,
-    ) -> Result<TruncatedTail, LogError> {
-        let tail = TruncatedTail { offset, removed: self.size_bytes - offset, fault };
+    fn truncate(&mut self, tail: &TruncatedTail, intact_records: usize) -> Result<(), LogError> {
         tracing::error!(
-            log = %self.path.display(), offset, removed = tail.removed, fault = %tail.fault, intact_records,
+            log = %self.path.display(), offset = tail.offset, removed = tail.removed, fault = %tail.fault,
+            intact_records,
             "purge log: truncated at the first invalid record"
         );
-        self.file.set_len(offset).map_err(io_error(&self.path, "truncate"))?;
-        self.file.sync_all().map_err(io_error(&self.path, "fsync"))?;
-        self.size_bytes = offset;
-        Ok(tail)
+        self.file.set_len(tail.offset).map_err(io_error(&self.path, "truncate"))?;
+        self.file.sync_all().map_err(io_error(&self.path, "fsync"))
     }
 
     /// Appends a record; with `durable`, returns once it is on disk. After an error the file is as before.
--- a/src/purge/logged_state.rs
+++ b/src/purge/logged_state.rs
@@ -95,6 +95,8 @@
         now_ms: f64,
     ) -> Result<(), LogError> {
         let known_seq = self.journal.last_seq;
+        let lost_records =
+            contents.lost_records || (contents.is_whole_file && highest_seq(&contents.records) < known_seq);
         let has_reused_seq = !contents.is_whole_file && has_purge_up_to(known_seq, &contents.records);
         for record in contents.records {
             self.replay(record, known_seq, active);
@@ -109,8 +111,8 @@
         if has_reused_seq && self.role == Role::Leader {
             self.replace_reused_seqs(lock, active, now_ms)?;
         }
-        if contents.lost_records {
-            tracing::error!("purge log: the file was deleted or shortened; writing it again from memory");
+        if lost_records {
+            tracing::error!("purge log: records were lost in service; writing it again from memory");
             self.compact(lock, active)?;
         }
         active.advance_low_water_mark(self.journal.low_water_mark, now_ms);
@@ -238,6 +240,17 @@
     }
 }
 
+/// The highest sequence number in the records of a log, 0 if there is none.
+fn highest_seq(records: &[Record]) -> u64 {
+    let seq = |record: &Record| match record {
+        Record::Snapshot(snapshot) => snapshot.last_seq,
+        Record::Purge(purge) => purge.seq,
+        Record::Cutoff(cutoff) => cutoff.seq,
+        Record::Acknowledged { .. } | Record::LowWaterMark { .. } => 0,
+    };
+    records.iter().map(seq).max().unwrap_or(0)
+}
+
 /// Whether records contain a purge with a sequence number up to `seq`.
 fn has_purge_up_to(seq: u64, records: &[Record]) -> bool {
     records.iter().any(|record| matches!(record, Record::Purge(purge) if purge.seq <= seq))
--- a/tests/purge_shared_log.rs
+++ b/tests/purge_shared_log.rs
@@ -211,6 +211,41 @@
     assert_eq!((restarted.last_seq(), restarted.active_seqs()), (4, vec![1, 2, 3, 4]));
 }
 
+/// Guards against numbers that are issued again after a restart, since an older copy of the log was put in its
+/// place while a process ran.
+#[test]
+fn an_older_log_put_in_place_in_service_is_brought_up_to_date() {
+    let config = leader_config(&test_dir("purges-shared-older"));
+    let path = config.log_path.as_ref().unwrap();
+    let mut leader = Process::start(&config, 1_000.0);
+    assert_eq!(leader.submit("tag:t1", 1_001.0), 1);
+    let older = std::fs::read(path).unwrap();
+    assert_eq!(leader.submit("tag:t2", 1_002.0), 2);
+    std::fs::remove_file(path).unwrap();
+    std::fs::write(path, older).unwrap();
+    leader.catch_up(1_003.0);
+    let restarted = Process::start(&config, 1_004.0);
+    assert_eq!((restarted.last_seq(), restarted.active_seqs()), (2, vec![1, 2]));
+}
+
+/// Guards against damage to a file that is not a log, put in the log's place while a process runs.
+#[test]
+fn a_file_that_is_not_a_log_fails_submissions_and_is_left_unchanged() {
+    let config = leader_config(&test_dir("purges-shared-foreign"));
+    let path = config.log_path.as_ref().unwrap();
+    let mut leader = Process::start(&config, 1_000.0);
+    assert_eq!(leader.submit("tag:t1", 1_001.0), 1);
+    std::fs::remove_file(path).unwrap();
+    std::fs::write(path, "notes of an operator").unwrap();
+    for now_ms in [1_002.0, 1_003.0] {
+        let refused = leader.leader.submit("tag:t2".parse().unwrap(), &mut leader.active, now_ms);
+        assert!(refused.unwrap_err().to_string().contains("not a purge log"));
+    }
+    assert_eq!(std::fs::read_to_string(path).unwrap(), "notes of an operator");
+    std::fs::remove_file(path).unwrap();
+    assert_eq!(leader.submit("tag:t2", 1_004.0), 2, "the failed submissions have no number");
+}
+
 /// Guards against a lost purge at a torn write of the other process: what was written completely stays.
 #[test]
 fn a_write_that_the_other_process_did_not_complete_is_removed_and_its_number_is_issued() {
