Count an answer of a purge target only for the batch that it answers

Cause: a batch counts as failed after twice the timeout, also while its call waits for a permit; the fan-out knew only that a batch was in flight, so the late answer counted for the next one, and its lower number for a lost state. A late failure ended the next batch likewise.

Change: batches have ids, and answers and failures of others than the one in flight are ignored.

--- a/src/purge/fanout.rs
+++ b/src/purge/fanout.rs
@@ -46,9 +46,15 @@
     Draining,
 }
 
+/// Identifies a batch among those of one fan-out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchId(u64);
+
 /// A batch to send: the purges `from..=through`, empty if `through < from`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BatchRange {
+    /// The id of the batch, for [`FanOut::acknowledge`] and [`FanOut::record_failure`].
+    pub id: BatchId,
     /// The name of the target.
     pub target: String,
     /// The first sequence number in the batch.
@@ -90,12 +96,13 @@
         /// The acknowledged sequence number.
         acknowledged: u64,
     },
-    /// No batch was in flight to the target, or the target is unknown.
+    /// The batch is not in flight any more, for example because it counts as failed, or the target is unknown.
     Unexpected,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct InFlight {
+    id: BatchId,
     sent_ms: f64,
 }
 
@@ -160,6 +167,7 @@
     /// Acknowledgements from the log, of targets that have not been listed since the restart.
     restored_acknowledgements: BTreeMap<String, u64>,
     retained: RetainedRange,
+    last_batch_id: u64,
     backoff: Backoff,
     limits: FanOutLimits,
     rng: SmallRng,
@@ -172,6 +180,7 @@
             targets: BTreeMap::new(),
             restored_acknowledgements: BTreeMap::new(),
             retained: RetainedRange { first: 1, last: 0 },
+            last_batch_id: 0,
             backoff,
             limits,
             rng: SmallRng::seed_from_u64(seed),
@@ -257,22 +266,31 @@
         let mut expired = Vec::new();
         for (name, target) in &mut self.targets {
             match target.in_flight {
-                Some(batch) if now_ms - batch.sent_ms > in_flight_timeout_ms => expired.push(name.clone()),
+                Some(batch) if now_ms - batch.sent_ms > in_flight_timeout_ms => {
+                    expired.push((name.clone(), batch.id));
+                }
                 Some(_) => {}
-                None => batches.extend(target.next_batch(name, retained, &limits, now_ms)),
+                None => {
+                    let id = BatchId(self.last_batch_id + 1);
+                    if let Some(batch) = target.next_batch(name, id, retained, &limits, now_ms) {
+                        self.last_batch_id = id.0;
+                        batches.push(batch);
+                    }
+                }
             }
         }
-        for name in expired {
-            self.record_failure(&name, now_ms);
+        for (name, id) in expired {
+            self.record_failure(&name, id, now_ms);
         }
         batches
     }
 
-    /// Records a target's answer to a batch: the highest sequence number that it has applied.
-    pub fn acknowledge(&mut self, target: &str, applied: u64, now_ms: f64) -> AckOutcome {
+    /// Records a target's answer to a batch: the highest sequence number that it has applied. A late answer to a
+    /// batch that counts as failed is ignored: the target may have applied more since.
+    pub fn acknowledge(&mut self, target: &str, id: BatchId, applied: u64, now_ms: f64) -> AckOutcome {
         let last = self.retained.last;
         let Some(target) = self.targets.get_mut(target) else { return AckOutcome::Unexpected };
-        if target.in_flight.take().is_none() {
+        if target.in_flight.take_if(|batch| batch.id == id).is_none() {
             return AckOutcome::Unexpected;
         }
         target.failures = 0;
@@ -292,10 +310,13 @@
         }
     }
 
-    /// Records that a batch to a target failed: no connection, no answer in time, or an error answer.
-    pub fn record_failure(&mut self, target: &str, now_ms: f64) {
+    /// Records that a batch to a target failed: no connection, no answer in time, or an error answer. Does
+    /// nothing if the batch is not in flight any more.
+    pub fn record_failure(&mut self, target: &str, id: BatchId, now_ms: f64) {
         let Some(target) = self.targets.get_mut(target) else { return };
-        target.in_flight = None;
+        if target.in_flight.take_if(|batch| batch.id == id).is_none() {
+            return;
+        }
         target.acknowledged = target.acknowledged.max(std::mem::take(&mut target.acknowledged_elsewhere));
         target.failures += 1;
         target.next_due_ms = now_ms + target.retry_delay.next_ms(&mut self.rng);
@@ -321,6 +342,7 @@
     fn next_batch(
         &mut self,
         name: &str,
+        id: BatchId,
         retained: RetainedRange,
         limits: &FanOutLimits,
         now_ms: f64,
@@ -337,8 +359,8 @@
         let longest_batch_end = from + (limits.max_batch as u64).max(1) - 1;
         let through = if is_behind { retained.last.min(longest_batch_end) } else { self.acknowledged };
         let with_cutoff = self.acknowledged + 1 < retained.first;
-        let batch = BatchRange { target: name.to_string(), from, through, with_cutoff };
-        self.in_flight = Some(InFlight { sent_ms: now_ms });
+        let batch = BatchRange { id, target: name.to_string(), from, through, with_cutoff };
+        self.in_flight = Some(InFlight { id, sent_ms: now_ms });
         self.last_sent_ms = now_ms;
         self.sent += batch.len();
         Some(batch)
--- a/src/purge/leader.rs
+++ b/src/purge/leader.rs
@@ -3,7 +3,7 @@
 
 use super::active_purges::{ActivePurges, ApplyOutcome, Purge};
 use super::config::{PurgeConfig, Role, Target};
-use super::fanout::{AckOutcome, BatchRange, FanOut};
+use super::fanout::{AckOutcome, BatchId, BatchRange, FanOut};
 use super::journal::{Durability, JournalLock};
 use super::log::LogError;
 use super::log_record::Record;
@@ -47,6 +47,8 @@
 /// A batch with the target to send it to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OutgoingBatch {
+    /// The id of the batch, for its acknowledgement or failure.
+    pub id: BatchId,
     /// The name of the target.
     pub target: String,
     /// The address of the target.
@@ -191,13 +193,14 @@
         self.state.journal.metrics.batches += 1;
         self.state.journal.metrics.cutoffs += u64::from(cutoff.is_some());
         let batch = Batch { leader: self.name.clone(), from: range.from, low_water_mark, cutoff, purges };
-        Some(OutgoingBatch { target: range.target, address, batch })
+        Some(OutgoingBatch { id: range.id, target: range.target, address, batch })
     }
 
     /// Records a target's answer to a batch: the highest sequence number that it has applied.
     pub fn acknowledge(
         &mut self,
         target: &str,
+        id: BatchId,
         applied: u64,
         active: &mut ActivePurges,
         now_ms: f64,
@@ -206,11 +209,11 @@
             Ok(lock) => lock,
             Err(error) => {
                 // The purges of other processes are unknown, so the acknowledgement can't be judged.
-                self.fanout.record_failure(target, now_ms);
+                self.fanout.record_failure(target, id, now_ms);
                 return Err(error);
             }
         };
-        match self.fanout.acknowledge(target, applied, now_ms) {
+        match self.fanout.acknowledge(target, id, applied, now_ms) {
             AckOutcome::Advanced { from, to } if to > from => {
                 let record = Record::Acknowledged { target: target.to_string(), seq: to };
                 self.state.journal.append(&lock, &record, Durability::Deferred)?;
@@ -254,8 +257,8 @@
     }
 
     /// Records that a batch to a target failed. It is retried with backoff.
-    pub fn record_failure(&mut self, target: &str, now_ms: f64, error: &SendError) {
-        self.fanout.record_failure(target, now_ms);
+    pub fn record_failure(&mut self, target: &str, id: BatchId, now_ms: f64, error: &SendError) {
+        self.fanout.record_failure(target, id, now_ms);
         self.state.journal.metrics.failures += 1;
         let failures = self.fanout.targets().get(target).map_or(0, |state| state.failures);
         if failures == 1 || failures.is_multiple_of(FAILURES_PER_WARNING) {
--- a/src/purge/service.rs
+++ b/src/purge/service.rs
@@ -138,9 +138,9 @@
         let recorded = self.with_replica(|replica, limiter| {
             let Some(leader) = replica.leader_mut() else { return Ok(()) };
             match result {
-                Ok(ack) => leader.acknowledge(target, ack.applied, &mut limiter.active, now_ms),
+                Ok(ack) => leader.acknowledge(target, outgoing.id, ack.applied, &mut limiter.active, now_ms),
                 Err(error) => {
-                    leader.record_failure(target, now_ms, &error);
+                    leader.record_failure(target, outgoing.id, now_ms, &error);
                     Ok(())
                 }
             }
--- a/tests/purge_shared_log.rs
+++ b/tests/purge_shared_log.rs
@@ -27,7 +27,7 @@
     /// Batches that have not reached the target yet.
     sent: VecDeque<OutgoingBatch>,
     /// Acknowledgements that have not reached the process yet.
-    acknowledged: VecDeque<(String, u64)>,
+    acknowledged: VecDeque<(OutgoingBatch, u64)>,
 }
 
 impl Process {
@@ -57,13 +57,13 @@
     fn deliver(&mut self, target: &mut ActivePurges) {
         if let Some(outgoing) = self.sent.pop_front() {
             apply_batch(target, &outgoing.batch);
-            self.acknowledged.push_back((outgoing.target, target.last_applied()));
+            self.acknowledged.push_back((outgoing, target.last_applied()));
         }
     }
 
     fn receive_acknowledgement(&mut self, now_ms: f64) {
-        if let Some((target, applied)) = self.acknowledged.pop_front() {
-            self.leader.acknowledge(&target, applied, &mut self.active, now_ms).unwrap();
+        if let Some((OutgoingBatch { target, id, .. }, applied)) = self.acknowledged.pop_front() {
+            self.leader.acknowledge(&target, id, applied, &mut self.active, now_ms).unwrap();
         }
     }
 
--- a/tests/stand_ins/purge_leader.rs
+++ b/tests/stand_ins/purge_leader.rs
@@ -21,7 +21,7 @@
 pub fn replicate(leader: &mut Leader, active: &mut ActivePurges, target: &mut ActivePurges, now: f64) {
     for outgoing in leader.take_due_batches(now) {
         apply_batch(target, &outgoing.batch);
-        leader.acknowledge(&outgoing.target, target.last_applied(), active, now).unwrap();
+        leader.acknowledge(&outgoing.target, outgoing.id, target.last_applied(), active, now).unwrap();
     }
 }
 
