--- /dev/null
+++ b/review/stand_ins_2/src/site.rs
@@ -0,0 +1,67 @@
+//! A small deployment: a bulletin, two pop caches of a branch, a parent and the origin.
+
+use crate::platform::{Bulletin, Cache, Content};
+use crate::proxy::{free_address, NodeConfig, Proxy, Target, CLASSES};
+use crate::Run;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+pub struct Site {
+    pub bulletin: Bulletin,
+    pub content: Rc<Content>,
+    /// Two pop caches, the parent and the origin.
+    pub servers: Vec<Cache>,
+    pub targets: Vec<Target>,
+    pub listen: SocketAddr,
+    pub admin: SocketAddr,
+    pub config: PathBuf,
+}
+
+impl Site {
+    pub async fn start(run: &Run) -> Self {
+        let content: Rc<Content> = Rc::default();
+        let mut servers = Vec::new();
+        let mut targets = Vec::new();
+        let listed = [
+            ("cache-1", "s-000000c1", "town", "box"),
+            ("cache-2", "s-000000c2", "town", "box"),
+            ("parent", "s-000000a0", "hub", "parent"),
+            ("origin", "s-000000b0", "hub", "origin"),
+        ];
+        for (name, id, zone, model) in listed {
+            let server = Cache::start(name, &content, &run.record).await;
+            targets.push(Target { id, address: server.address, zone, model });
+            servers.push(server);
+        }
+        let bulletin = Bulletin::start().await;
+        let (listen, admin) = (free_address(), free_address());
+        let mut site = Self { bulletin, content, servers, targets, listen, admin, config: PathBuf::new() };
+        site.config = site.configure(run, "node.json", &CLASSES, &[false, false, true]);
+        site
+    }
+
+    /// Writes the node's configuration with these classes.
+    pub fn configure(&self, run: &Run, file: &str, classes: &[&str], writes: &[bool]) -> PathBuf {
+        let config = NodeConfig {
+            name: "n1",
+            listen: self.listen,
+            admin: self.admin,
+            bulletin: self.bulletin.address,
+            targets: &self.targets,
+            classes,
+            writes,
+        };
+        run.place.write(file, &config.json())
+    }
+
+    /// Starts the proxy with these options, and waits until its first second is over: before that nobody sends
+    /// SIGHUP.
+    pub async fn proxy(&self, run: &Run, options: &str) -> Result<Proxy, String> {
+        let proxy = Proxy::start(&run.place, "n1", self.listen, &self.config, options).await;
+        tokio::time::sleep(std::time::Duration::from_millis(1_200)).await;
+        let options = options.replace(&format!("{}/", run.place.folder.display()), "");
+        run.record.line(format!("the proxy serves, started with {options}"));
+        proxy.ok_or_else(|| "the proxy did not start".to_string())
+    }
+}
