--- /dev/null
+++ b/review/stand_ins_2/src/cases/upgrade.rs
@@ -0,0 +1,133 @@
+//! A new version is started beside the old one, on an installation with HTTP/3.
+
+use super::resumed_copy::http3_file;
+use super::Played;
+use crate::proxy::{free_address, platform_socket, Proxy, Start};
+use crate::record::now_ms;
+use crate::site::Site;
+use crate::web::{get, read, request, send};
+use crate::{Run, Verdict};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// How long a request takes at a cache.
+const SERVICE_MS: u64 = 250;
+/// The time from one request to the next.
+const REQUEST_GAP_MS: u64 = 40;
+/// How often the platform asks the new process whether it can serve; at its yes the old one gets SIGTERM.
+const POLL_MS: u64 = 500;
+/// The time in which the new process has to say yes.
+const YES_MS: f64 = 6_000.0;
+/// How long the case goes on after SIGTERM.
+const AFTER_MS: f64 = 6_000.0;
+/// Clients that ask once and then keep their connection for good.
+const RESTING: u64 = 3;
+
+pub async fn play(run: &Run) -> Played {
+    let site = Site::start(run).await;
+    site.servers.iter().for_each(|server| {
+        server.set_quiet();
+        server.service_ms.set(SERVICE_MS);
+    });
+    let options = format!("--http3 {}", http3_file(run, free_address()).display());
+    let held = platform_socket(site.listen, 1_024).map_err(|error| error.to_string())?;
+    let mut old = site.proxy_on(run, &options, Some(&held)).await?;
+
+    let (ended, lost): (Rc<Cell<bool>>, Rc<RefCell<Vec<String>>>) = Default::default();
+    let served = Rc::new(Cell::new(0u32));
+    let (stop, lost_here, served_here, listen) = (ended.clone(), lost.clone(), served.clone(), site.listen);
+    let record = run.record.clone();
+    let clients = spawn_local(async move {
+        let mut open = Vec::new();
+        let mut number = 0u64;
+        while !stop.get() {
+            number += 1;
+            let (lost, served, record) = (lost_here.clone(), served_here.clone(), record.clone());
+            open.push(spawn_local(async move {
+                let id = format!("{:016x}", 0x9000 + number);
+                let headers = [("X-Call-Id", id.as_str()), ("X-Patience-Ms", "3000"), ("X-Set", "17")];
+                let text =
+                    request("GET", &format!("/ops/small-object/{:016x}", number % 50 + 1), &headers, "");
+                let Ok(mut stream) = send(listen, &text).await else { return };
+                let sent_ms = now_ms();
+                let reply = timeout(Duration::from_millis(3_550), read(&mut stream, usize::MAX)).await;
+                let how = match reply {
+                    Ok(Some(reply)) if reply.whole => {
+                        return served.set(served.get() + u32::from(reply.status == 200))
+                    }
+                    Ok(Some(_)) => "got a part of an answer",
+                    Ok(None) => "lost its connection without an answer",
+                    Err(_) => "got no answer in its time",
+                };
+                record.line(format!("request {id} {how}, {:.0} ms after it was written", now_ms() - sent_ms));
+                lost.borrow_mut().push(id);
+            }));
+            sleep(Duration::from_millis(REQUEST_GAP_MS)).await;
+        }
+        for request in open {
+            let _ = request.await;
+        }
+    });
+    sleep(Duration::from_millis(1_000)).await;
+
+    let mut resting = Vec::new();
+    for number in 0..RESTING {
+        let id = format!("{:016x}", 0x100 + number);
+        let headers = [("X-Call-Id", id.as_str()), ("X-Patience-Ms", "3000"), ("X-Set", "17")];
+        let text = request("GET", "/ops/small-object/00000000000000aa", &headers, "");
+        let mut stream = send(site.listen, &text).await.map_err(|error| error.to_string())?;
+        let status = read(&mut stream, usize::MAX).await.map_or(0, |reply| reply.status);
+        run.record.line(format!("a client asks once, gets {status} and keeps its connection"));
+        resting.push(stream);
+    }
+
+    let mut new_ended = false;
+    if run.trouble {
+        run.record.line("the platform starts the new process");
+        let started_ms = now_ms();
+        let admin = free_address();
+        let start = Start { new_admin: Some(admin), ..site.start_of(&options, Some(&held)) };
+        let mut new = Proxy::spawn(&run.place, &start).ok_or("the new process could not be started")?;
+        let mut said_yes = false;
+        while !said_yes && now_ms() < started_ms + YES_MS {
+            sleep(Duration::from_millis(POLL_MS)).await;
+            said_yes = get(admin, "/healthcheck", 1_000).await.is_some_and(|reply| reply.status == 200);
+        }
+        if !said_yes {
+            return Err("the new process did not say yes".into());
+        }
+        run.record.line(format!("the new process says yes, {:.0} ms after its start", now_ms() - started_ms));
+        run.record.line("the platform sends SIGTERM to the old process");
+        old.signal("TERM");
+        let (until, mut old_ended) = (now_ms() + AFTER_MS, false);
+        while now_ms() < until {
+            if !new_ended && new.has_ended() {
+                new_ended = true;
+                run.record
+                    .line(format!("the new process ends, {:.0} ms after its start", now_ms() - started_ms));
+            }
+            if !old_ended && old.has_ended() {
+                old_ended = true;
+                run.record
+                    .line(format!("the old process ends, {:.0} ms after its start", now_ms() - started_ms));
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        new.copy_log(&run.record, &["listener started", "in use", "cannot"]);
+    } else {
+        sleep(Duration::from_millis(AFTER_MS as u64)).await;
+    }
+    drop(resting);
+    ended.set(true);
+    let _ = clients.await;
+    let lost = lost.borrow();
+    run.record.line(format!("{} requests were served, {} lost", served.get(), lost.len()));
+    if !new_ended && lost.is_empty() {
+        return Ok(Verdict::Held);
+    }
+    let exit = if new_ended { "the new process ended by itself" } else { "the new process went on" };
+    Ok(Verdict::Broken(format!("{exit}, and {} requests that were taken got no answer", lost.len())))
+}
--- a/review/stand_ins_2/src/main.rs
+++ b/review/stand_ins_2/src/main.rs
@@ -37,6 +37,11 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
+    if let [_, "crowd-members", address] = arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        let address = address.parse().expect("an address");
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        return tokio::task::LocalSet::new().block_on(&runtime, cases::crowd::members(address));
+    }
     let [_, case, root, folder, record] = &arguments[..] else {
         eprintln!("usage: review-2 CASE ROOT FOLDER RECORD");
         exit(2)
--- a/review/stand_ins_2/src/proxy.rs
+++ b/review/stand_ins_2/src/proxy.rs
@@ -4,9 +4,11 @@
 use std::fs::{self, File};
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
+use tokio::net::TcpSocket;
 
 /// The `run` line of the deploy file, without its `exec`.
 fn run_line(root: &Path) -> Option<String> {
@@ -21,6 +23,13 @@
     listener.local_addr().expect("its address")
 }
 
+/// The clients' listening socket, where the platform holds it and the proxy inherits it.
+pub fn platform_socket(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(address)?;
+    socket.listen(backlog)?.into_std()
+}
+
 /// The folders of a run.
 pub struct Place {
     pub root: PathBuf,
@@ -44,21 +53,59 @@
     log: PathBuf,
 }
 
+/// How a proxy is started.
+pub struct Start<'a> {
+    pub name: &'a str,
+    pub listen: SocketAddr,
+    pub config: &'a Path,
+    /// The options after the `run` line.
+    pub options: &'a str,
+    /// The clients' listening socket, if the platform holds it; it becomes descriptor 3.
+    pub inherited: Option<&'a TcpListener>,
+    /// The admin address of a new version that is started beside the old one.
+    pub new_admin: Option<SocketAddr>,
+}
+
 impl Proxy {
     /// Starts a proxy and waits until it answers `GET /alive` with 200.
-    pub async fn start(
-        place: &Place,
-        name: &str,
-        listen: SocketAddr,
-        config: &Path,
-        options: &str,
-    ) -> Option<Self> {
-        let run = format!("{} {options}", run_line(&place.root)?);
-        let log = place.folder.join(format!("{name}.log"));
+    pub async fn start(place: &Place, start: Start<'_>) -> Option<Self> {
+        let mut proxy = Self::spawn(place, &start)?;
+        let until = now_ms() + 15_000.0;
+        while now_ms() < until {
+            if crate::web::get(start.listen, "/alive", 500).await.is_some_and(|reply| reply.status == 200) {
+                return Some(proxy);
+            }
+            if proxy.has_ended() {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+        eprintln!("the proxy is not ready:\n{}", fs::read_to_string(&proxy.log).unwrap_or_default());
+        None
+    }
+
+    /// Starts a proxy's process.
+    pub fn spawn(place: &Place, start: &Start<'_>) -> Option<Self> {
+        let Start { name, listen, config, options, inherited, new_admin } = *start;
+        let redirection = if inherited.is_some() { "3<&0 </dev/null" } else { "" };
+        let run = format!("{} {options} {redirection}", run_line(&place.root)?);
+        let process = if new_admin.is_some() { "new" } else { "old" };
+        let log = place.folder.join(format!("{name}-{process}.log"));
         let output = File::create(&log).ok()?;
         let scratch = place.folder.join(format!("{name}.tmp"));
         fs::create_dir_all(&scratch).ok()?;
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        match inherited {
+            Some(listener) => {
+                let listener = listener.try_clone().ok()?;
+                command.env("NODE_INHERITED_FD", "3").stdin(OwnedFd::from(listener));
+            }
+            None => drop(command.stdin(Stdio::null())),
+        }
+        if let Some(admin) = new_admin {
+            command.env("NODE_MGMT", admin.to_string());
+        }
+        let child = command
             .args(["-c", &run])
             .current_dir(&place.root)
             .env("NODE_NAME", name)
@@ -66,7 +113,6 @@
             .env("NODE_CONFIG", config)
             .env("TMPDIR", &scratch)
             .env("EDGE_PROXY_LOG", "info,edge_proxy=debug")
-            .stdin(Stdio::null())
             .stdout(output.try_clone().ok()?)
             .stderr(output)
             .spawn()
@@ -74,21 +120,7 @@
         let mut pids =
             fs::OpenOptions::new().create(true).append(true).open(place.folder.join("pids")).ok()?;
         writeln!(pids, "{}", child.id()).ok()?;
-        let mut proxy = Self { child, log };
-        let until = now_ms() + 15_000.0;
-        while now_ms() < until {
-            if let Some(reply) = crate::web::get(listen, "/alive", 500).await {
-                if reply.status == 200 {
-                    return Some(proxy);
-                }
-            }
-            if proxy.has_ended() {
-                break;
-            }
-            tokio::time::sleep(Duration::from_millis(30)).await;
-        }
-        eprintln!("the proxy is not ready:\n{}", fs::read_to_string(&proxy.log).unwrap_or_default());
-        None
+        Some(Self { child, log })
     }
 
     pub fn has_ended(&mut self) -> bool {
@@ -180,19 +212,21 @@
     pub admin: SocketAddr,
     pub bulletin: SocketAddr,
     pub targets: &'a [Target],
+    /// The descriptors that the proxy may hold.
+    pub sockets: usize,
     pub classes: &'a [&'a str],
     pub writes: &'a [bool],
 }
 
 impl NodeConfig<'_> {
     pub fn json(&self) -> String {
-        let Self { name, listen, admin, bulletin, .. } = self;
+        let Self { name, listen, admin, bulletin, sockets, .. } = self;
         let targets: Vec<String> = self.targets.iter().map(|target| target.json("Ready")).collect();
         let writes: Vec<String> = self.writes.iter().map(bool::to_string).collect();
         let (targets, classes, writes) = (targets.join(","), self.classes.join(","), writes.join(","));
         format!(
             r#"{{"name":"{name}","listen":"{listen}","mgmt":"{admin}","seed":"8c1f30d27a5be964",
-"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"bulletin":"{bulletin}",
+"limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"bulletin":"{bulletin}",
 "flow_bytes_per_s":310000,"link_bytes_per_s":1240000,
 "known":{{"no":1,"items":[{{"no":1,"roster":{{"rev":1,"all":true,"targets":[{targets}]}}}}]}},
 "settings":{{"classes":[{classes}],
--- a/review/stand_ins_2/src/site.rs
+++ b/review/stand_ins_2/src/site.rs
@@ -1,9 +1,9 @@
 //! A small deployment: a bulletin, two pop caches of a branch, a parent and the origin.
 
 use crate::platform::{Bulletin, Cache, Content};
-use crate::proxy::{free_address, NodeConfig, Proxy, Target, CLASSES};
+use crate::proxy::{free_address, NodeConfig, Proxy, Start, Target, CLASSES};
 use crate::Run;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::rc::Rc;
 
@@ -15,6 +15,8 @@
     pub targets: Vec<Target>,
     pub listen: SocketAddr,
     pub admin: SocketAddr,
+    /// The descriptors that the proxy may hold.
+    pub sockets: usize,
     pub config: PathBuf,
 }
 
@@ -36,7 +38,16 @@
         }
         let bulletin = Bulletin::start().await;
         let (listen, admin) = (free_address(), free_address());
-        let mut site = Self { bulletin, content, servers, targets, listen, admin, config: PathBuf::new() };
+        let mut site = Self {
+            bulletin,
+            content,
+            servers,
+            targets,
+            listen,
+            admin,
+            sockets: 1_024,
+            config: PathBuf::new(),
+        };
         site.config = site.configure(run, "node.json", &CLASSES, &[false, false, true]);
         site
     }
@@ -49,16 +60,33 @@
             admin: self.admin,
             bulletin: self.bulletin.address,
             targets: &self.targets,
+            sockets: self.sockets,
             classes,
             writes,
         };
         run.place.write(file, &config.json())
     }
 
+    /// How the node's proxy is started.
+    pub fn start_of<'a>(&'a self, options: &'a str, inherited: Option<&'a TcpListener>) -> Start<'a> {
+        let (listen, config) = (self.listen, &self.config);
+        Start { name: "n1", listen, config, options, inherited, new_admin: None }
+    }
+
     /// Starts the proxy with these options, and waits until its first second is over: before that nobody sends
     /// SIGHUP.
     pub async fn proxy(&self, run: &Run, options: &str) -> Result<Proxy, String> {
-        let proxy = Proxy::start(&run.place, "n1", self.listen, &self.config, options).await;
+        self.proxy_on(run, options, None).await
+    }
+
+    /// As [`Self::proxy`], on the listening socket that the platform holds.
+    pub async fn proxy_on(
+        &self,
+        run: &Run,
+        options: &str,
+        inherited: Option<&TcpListener>,
+    ) -> Result<Proxy, String> {
+        let proxy = Proxy::start(&run.place, self.start_of(options, inherited)).await;
         tokio::time::sleep(std::time::Duration::from_millis(1_200)).await;
         let options = options.replace(&format!("{}/", run.place.folder.display()), "");
         run.record.line(format!("the proxy serves, started with {options}"));
