--- a/review/stand_ins_2/src/cases.rs
+++ b/review/stand_ins_2/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 pub mod crowd;
+mod crowd_stop;
 mod foreign_answer;
 mod grpc_drain;
 mod grpc_key_window;
@@ -15,6 +16,7 @@
 
 pub async fn play(case: &str, run: &Run) -> Verdict {
     let played = match case {
+        "crowd-stop" => crowd_stop::play(run).await,
         "crowd" => crowd::play(run).await,
         "foreign-answer" => foreign_answer::play(run).await,
         "grpc-drain" => grpc_drain::play(run).await,
