--- a/review/stand_ins_2/src/cases.rs
+++ b/review/stand_ins_2/src/cases.rs
@@ -2,6 +2,7 @@
 
 pub mod crowd;
 mod crowd_stop;
+mod first_post;
 mod foreign_answer;
 mod grpc_drain;
 mod grpc_key_window;
@@ -18,6 +19,7 @@
     let played = match case {
         "crowd-stop" => crowd_stop::play(run).await,
         "crowd" => crowd::play(run).await,
+        "first-post" => first_post::play(run).await,
         "foreign-answer" => foreign_answer::play(run).await,
         "grpc-drain" => grpc_drain::play(run).await,
         "grpc-key-window" => grpc_key_window::play(run).await,
--- a/review/stand_ins_2/src/cases/crowd_stop.rs
+++ b/review/stand_ins_2/src/cases/crowd_stop.rs
@@ -86,7 +86,9 @@
                 Err(_) => "gets nothing".to_string(),
             };
             let at = sent_ms - sigterm_ms;
-            record.line(format!("BREAK request {id} {what} after {took_ms:.0} ms, written {at:.0} ms after SIGTERM"));
+            record.line(format!(
+                "BREAK request {id} {what} after {took_ms:.0} ms, written {at:.0} ms after SIGTERM"
+            ));
             breaks.borrow_mut().push(what);
         }));
         sleep(Duration::from_millis(20)).await;
