--- a/review/stand_ins_2/src/cases/upgrade.rs
+++ b/review/stand_ins_2/src/cases/upgrade.rs
@@ -88,18 +88,26 @@
     });
     sleep(Duration::from_millis(1_000)).await;
 
+    // For trials beside the case: none, or clients that close when the proxy has ended their connection.
+    let trial = std::env::var("UPGRADE_RESTING").unwrap_or_default();
     let mut resting = Vec::new();
-    for number in 0..RESTING {
+    for number in 0..if trial == "none" { 0 } else { RESTING } {
         let id = format!("{:016x}", 0x100 + number);
         let headers = [("X-Call-Id", id.as_str()), ("X-Patience-Ms", "3000"), ("X-Set", "17")];
         let text = request("GET", "/ops/small-object/00000000000000aa", &headers, "");
         let mut stream = send(site.listen, &text).await.map_err(|error| error.to_string())?;
         let status = read(&mut stream, usize::MAX).await.map_or(0, |reply| reply.status);
         run.record.line(format!("a client asks once, gets {status} and keeps its connection"));
-        resting.push(stream);
+        if trial == "closing" {
+            spawn_local(async move { drop(read(&mut stream, usize::MAX).await) });
+        } else {
+            resting.push(stream);
+        }
     }
 
     let mut new_ended = false;
+    // Kept to the end: the new process has to serve as long as clients send.
+    let mut new_process = None;
     if run.trouble {
         run.record.line("the platform starts the new process");
         let started_ms = now_ms();
@@ -132,12 +140,14 @@
             sleep(Duration::from_millis(10)).await;
         }
         new.copy_log(&run.record, &["listener started", "in use", "cannot"]);
+        new_process = Some(new);
     } else {
         sleep(Duration::from_millis(AFTER_MS as u64)).await;
     }
     drop(resting);
     ended.set(true);
     let _ = clients.await;
+    drop(new_process);
     let lost = lost.borrow();
     run.record.line(format!("{} requests were served, {} lost", served.get(), lost.len()));
     if !new_ended && lost.is_empty() {
