--- a/review/stand_ins_2/src/cases.rs
+++ b/review/stand_ins_2/src/cases.rs
@@ -6,6 +6,7 @@
 mod grpc_drain;
 mod grpc_key_window;
 mod grpc_reload;
+mod purge_restart;
 mod registry_batches;
 mod registry_key;
 mod resumed_copy;
@@ -22,6 +23,7 @@
         "grpc-drain" => grpc_drain::play(run).await,
         "grpc-key-window" => grpc_key_window::play(run).await,
         "grpc-reload" => grpc_reload::play(run).await,
+        "purge-restart" => purge_restart::play(run).await,
         "registry-key" => registry_key::play(run).await,
         "registry-batches" => registry_batches::play(run).await,
         "resumed-copy" => resumed_copy::play(run).await,
--- a/review/stand_ins_2/src/cases/registry_key.rs
+++ b/review/stand_ins_2/src/cases/registry_key.rs
@@ -9,6 +9,7 @@
 use crate::web::{call, get, request};
 use crate::{Run, Verdict};
 use std::cell::Cell;
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -21,7 +22,7 @@
 pub async fn play(run: &Run) -> Played {
     let site = Site::start(run).await;
     site.servers.iter().for_each(|server| server.set_quiet());
-    let replacement = Cache::start("cache-3", &site.content, &run.record).await;
+    let replacement = Cache::start("cache-3", Ipv4Addr::LOCALHOST, &site.content, &run.record).await;
     replacement.set_quiet();
     let registry = Registry::start(&run.record).await;
     let keys = ["town-1", "town-2", "hub-parent", "hub-origin"];
--- a/review/stand_ins_2/src/main.rs
+++ b/review/stand_ins_2/src/main.rs
@@ -6,6 +6,7 @@
 mod grpc;
 mod platform;
 mod proxy;
+mod purges;
 mod record;
 mod registry;
 mod site;
--- a/review/stand_ins_2/src/platform.rs
+++ b/review/stand_ins_2/src/platform.rs
@@ -3,7 +3,7 @@
 use crate::record::{now_ms, Record};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -135,6 +135,8 @@
 struct Copy {
     version: u32,
     generated_ms: f64,
+    /// The group of its object, where requests name it.
+    group: String,
 }
 
 /// A pop cache, parent or origin. It keeps what it has fetched, answers from a copy that is not older than
@@ -153,8 +155,8 @@
 }
 
 impl Cache {
-    pub async fn start(name: &'static str, content: &Rc<Content>, record: &Record) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    pub async fn start(name: &'static str, ip: Ipv4Addr, content: &Rc<Content>, record: &Record) -> Self {
+        let listener = TcpListener::bind((ip, 0)).await.unwrap();
         let cache = Self {
             name,
             address: listener.local_addr().unwrap(),
@@ -184,6 +186,16 @@
         self.copies.borrow_mut().retain(|(other, _), _| other != object);
     }
 
+    /// Drops the copies of a group that are not newer than its purge.
+    pub fn drop_group(&self, group: &str, issued_ms: f64) {
+        self.copies.borrow_mut().retain(|_, copy| copy.group != group || copy.generated_ms > issued_ms);
+    }
+
+    /// The number of copies of this version.
+    pub fn copies_of_version(&self, version: u32) -> usize {
+        self.copies.borrow().values().filter(|copy| copy.version == version).count()
+    }
+
     async fn serve(self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let (input, output) = stream.into_split();
@@ -239,9 +251,11 @@
         let key = (object.clone(), part.clone());
         let kept = self.copies.borrow().get(&key).cloned();
         let will_do = |copy: &Copy| age_limit == 0.0 || now_ms() - copy.generated_ms <= age_limit;
-        let copy = kept
-            .filter(will_do)
-            .unwrap_or_else(|| Copy { version: self.content.version(&object), generated_ms: now_ms() });
+        let copy = kept.filter(will_do).unwrap_or_else(|| Copy {
+            version: self.content.version(&object),
+            generated_ms: now_ms(),
+            group: arrival.field("g").to_string(),
+        });
         self.copies.borrow_mut().insert(key, copy.clone());
         let body = self.content.body(&object, &part, copy.version);
         let head = format!(
--- a/review/stand_ins_2/src/site.rs
+++ b/review/stand_ins_2/src/site.rs
@@ -3,7 +3,7 @@
 use crate::platform::{Bulletin, Cache, Content};
 use crate::proxy::{free_address, NodeConfig, Proxy, Start, Target, CLASSES};
 use crate::Run;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::rc::Rc;
 
@@ -22,6 +22,11 @@
 
 impl Site {
     pub async fn start(run: &Run) -> Self {
+        Self::start_at(run, [Ipv4Addr::LOCALHOST; 4]).await
+    }
+
+    /// As [`Self::start`], with the servers at these addresses.
+    pub async fn start_at(run: &Run, ips: [Ipv4Addr; 4]) -> Self {
         let content: Rc<Content> = Rc::default();
         let mut servers = Vec::new();
         let mut targets = Vec::new();
@@ -31,8 +36,8 @@
             ("parent", "s-000000a0", "hub", "parent"),
             ("origin", "s-000000b0", "hub", "origin"),
         ];
-        for (name, id, zone, model) in listed {
-            let server = Cache::start(name, &content, &run.record).await;
+        for ((name, id, zone, model), ip) in listed.into_iter().zip(ips) {
+            let server = Cache::start(name, ip, &content, &run.record).await;
             targets.push(Target { id, address: server.address, zone, model });
             servers.push(server);
         }
