--- a/review/stand_ins_2/src/cases/purge_restart.rs
+++ b/review/stand_ins_2/src/cases/purge_restart.rs
@@ -1,7 +1,7 @@
 //! The leader of fleet purges restarts while one cache has not applied a purge yet.
 
 use super::Played;
-use crate::proxy::CLASSES;
+use crate::proxy::{Proxy, CLASSES};
 use crate::purges::PurgeAddress;
 use crate::record::now_ms;
 use crate::registry::Registry;
@@ -25,18 +25,33 @@
 const OBJECTS: u64 = 60;
 /// The clients ask for all objects in three rounds before the purge, and once more after it.
 const LAST_ROUND: u64 = 4;
-/// How long after the purge the proxy restarts; `hold_ms` is 6,000.
-const RESTART_MS: u64 = 7_000;
+/// How long the leader holds a purge at least: longer than a fill can take, 3.6 s.
+const HOLD_MS: u64 = 4_000;
+/// How long after the purge the proxy gets SIGTERM. It ends 0.7 s later.
+const RESTART_MS: f64 = 3_500.0;
+/// How long after the purge the clients ask again, at the earliest.
+const ASK_MS: f64 = 4_500.0;
+/// Within this time of a purge all caches have dropped older copies by themselves. Answers after it don't count.
+const DROPPED_MS: f64 = 6_000.0;
 
-/// Asks for each object once; returns the numbers of answers from copies of version 1 and of version 2. Those of
-/// version 1 are recorded in the last round.
-async fn read_all(run: &Run, listen: SocketAddr, round: u64) -> (usize, usize) {
+/// Waits until so long after the purge.
+async fn wait_until(purged_ms: f64, after_ms: f64) {
+    let left_ms = (purged_ms + after_ms - now_ms()).max(0.0);
+    sleep(Duration::from_millis(left_ms.ceil() as u64)).await;
+}
+
+/// Asks for each object once, until `until_ms`; returns the numbers of answers from copies of version 1 and of version 2.
+/// Those of version 1 are recorded in the last round.
+async fn read_all(run: &Run, listen: SocketAddr, round: u64, until_ms: f64) -> (usize, usize) {
     let (mut old, mut new, mut others) = (0, 0, 0);
     for object in 1..=OBJECTS {
         let id = format!("{:016x}", round * 0x1000 + object);
         let headers = [("X-Call-Id", id.as_str()), ("X-Patience-Ms", "3000"), ("X-Set", GROUP)];
         let text = request("GET", &format!("/ops/small-object/{object:016x}"), &headers, "");
         let reply = call(listen, &text, 3_000).await;
+        if now_ms() > until_ms {
+            break;
+        }
         match reply.filter(|reply| reply.status == 200).map(|reply| reply.text()) {
             Some(text) if text.contains("version 1") => {
                 old += 1;
@@ -47,12 +62,27 @@
             Some(text) if text.contains("version 2") => new += 1,
             _ => others += 1,
         }
-        sleep(Duration::from_millis(10)).await;
+        sleep(Duration::from_millis(5)).await;
     }
     run.record.line(format!("{old} objects of version 1, {new} of version 2, {others} other answers"));
     (old, new)
 }
 
+/// Starts the purge addresses of the caches and the parent, on one port that is free at all of them.
+async fn purge_addresses(run: &Run, site: &Site) -> Option<(u16, Vec<PurgeAddress>)> {
+    for _ in 0..20 {
+        let port = TcpListener::bind((IPS[0], 0)).await.ok()?.local_addr().ok()?.port();
+        let mut addresses = Vec::new();
+        for (server, ip) in site.servers.iter().zip(IPS).take(3) {
+            addresses.extend(PurgeAddress::start((ip, port).into(), server, &run.record).await);
+        }
+        if addresses.len() == 3 {
+            return Some((port, addresses));
+        }
+    }
+    None
+}
+
 async fn purge_status(run: &Run, admin: SocketAddr) -> String {
     let status = get(admin, "/purges", 1_000).await.map(|reply| reply.text()).unwrap_or_default();
     run.record.line(format!("GET /purges: {status}"));
@@ -62,13 +92,7 @@
 pub async fn play(run: &Run) -> Played {
     let mut site = Site::start_at(run, IPS).await;
     site.servers.iter().for_each(|server| server.set_quiet());
-    let purge_port = TcpListener::bind((IPS[0], 0)).await.and_then(|listener| listener.local_addr());
-    let purge_port = purge_port.map_err(|error| error.to_string())?.port();
-    let mut purge_addresses = Vec::new();
-    for (server, ip) in site.servers.iter().zip(IPS).take(3) {
-        let address = PurgeAddress::start((ip, purge_port).into(), server, &run.record).await;
-        purge_addresses.push(address.ok_or("the purge port is not free")?);
-    }
+    let (purge_port, purge_addresses) = purge_addresses(run, &site).await.ok_or("no purge port is free")?;
     let registry = Registry::start(&run.record).await;
     for target in &site.targets {
         registry.put(&format!("{PREFIX}{}", target.id), &target.json("Ready"));
@@ -85,7 +109,7 @@
     );
     let registry_file = run.place.write("registry.json", &registry_file);
     let purges_file = format!(
-        r#"{{"role":"leader","name":"edge-1","state":"purges.log","roster_port":{purge_port},"hold_ms":6000}}"#
+        r#"{{"role":"leader","name":"edge-1","state":"purges.log","roster_port":{purge_port},"hold_ms":{HOLD_MS}}}"#
     );
     let purges_file = run.place.write("purges.json", &purges_file);
     let options = format!("--registry {} --purges {}", registry_file.display(), purges_file.display());
@@ -93,7 +117,7 @@
     sleep(Duration::from_millis(1_000)).await;
 
     for round in 1..LAST_ROUND {
-        read_all(run, site.listen, round).await;
+        read_all(run, site.listen, round, f64::INFINITY).await;
     }
     let kept = site.servers[1].copies_of_version(1);
     run.record.line(format!("cache-2 keeps {kept} copies"));
@@ -118,7 +142,7 @@
     if submitted.status != 200 {
         return Err("the purge was not issued".into());
     }
-    sleep(Duration::from_millis(RESTART_MS)).await;
+    wait_until(purged_ms, RESTART_MS).await;
     purge_status(run, site.admin).await;
     if run.trouble {
         run.record.line("a planned restart: SIGTERM");
@@ -131,15 +155,23 @@
             sleep(Duration::from_millis(20)).await;
         }
         proxy.copy_log(&run.record, &["purge"]);
-        proxy = site.proxy(run, &options).await?;
+        proxy =
+            Proxy::start(&run.place, site.start_of(&options, None)).await.ok_or("the proxy did not start")?;
+        run.record.line("the proxy serves again");
     }
-    sleep(Duration::from_millis(2_000)).await;
+    wait_until(purged_ms, ASK_MS).await;
     purge_status(run, site.admin).await;
     let after_ms = now_ms() - purged_ms;
-    let (old, new) = read_all(run, site.listen, LAST_ROUND).await;
-    run.record.line("the purge address of cache-2 answers again");
+    let (old, new) = read_all(run, site.listen, LAST_ROUND, purged_ms + DROPPED_MS).await;
     purge_addresses[1].set_silent(false);
-    sleep(Duration::from_millis(4_500)).await;
+    run.record.line(format!(
+        "the purge address of cache-2 answers again, {:.0} ms after the purge",
+        now_ms() - purged_ms
+    ));
+    wait_until(purged_ms, DROPPED_MS).await;
+    site.servers.iter().for_each(|server| server.drop_group(GROUP, purged_ms));
+    run.record.line("all caches have dropped what is older");
+    sleep(Duration::from_millis(2_000)).await;
     purge_status(run, site.admin).await;
     proxy.copy_log(&run.record, &["purge", "registry:"]);
     if old > 0 {
