Fair queue: give a client a queue of its own at each tenant

Cause: a client stood in the ring of the tenant of its first queued request only, while each request was counted at its own tenant. A request that left out of turn took the client out of the ring of its own tenant, so that a client without a queue stayed in another ring (RoundRobin::push, remove), and tenant counters underflowed.

Change: queues are found by tenant and client together; the limit per client is a count over its tenants; the expected wait counts the requests ahead at the same tenant. Removal of what is not queued changes nothing.

The model test of round robin failed on the old code after two pushes, the test on real connections lost an answered request's response; both pass now. The other ways weighed: a ring entry that names the tenant, which leaves two counts to keep in step.

--- a/src/admission/bounds.rs
+++ b/src/admission/bounds.rs
@@ -3,7 +3,7 @@
 use super::decision::{ClientKey, TenantId};
 use super::fair_queue::{InFlight, QueuedRequest, EXPIRY_BYTES};
 use super::reservations::{ReservationTable, SLOT_MS};
-use super::round_robin::{ClientQueue, TenantQueue};
+use super::round_robin::{ClientQueue, QueueKey, TenantQueue};
 use crate::RequestId;
 use std::mem::size_of;
 
@@ -43,7 +43,8 @@
     pub fn max_heap_bytes(&self, max_in_flight: usize) -> usize {
         let queued = self.max_queued;
         table_bytes(queued, size_of::<(RequestId, QueuedRequest)>())
-            + table_bytes(queued, size_of::<(ClientKey, ClientQueue)>())
+            + table_bytes(queued, size_of::<(QueueKey, ClientQueue)>())
+            + table_bytes(queued, size_of::<(ClientKey, usize)>())
             + queued * deque_bytes(1, size_of::<RequestId>())
             + table_bytes(queued, size_of::<(TenantId, TenantQueue)>())
             + queued * deque_bytes(1, size_of::<ClientKey>())
--- a/src/admission/fair_queue.rs
+++ b/src/admission/fair_queue.rs
@@ -179,7 +179,8 @@
     /// The reason to shed a request, or `None` if it can be queued.
     fn shed_reason(&self, now_ms: f64, arrival: &Arrival) -> Option<ShedReason> {
         let client_depth = self.round_robin.client_depth(arrival.client);
-        let wait_ms = self.expected_wait_ms(arrival.client, arrival.tenant, client_depth + 1);
+        let queue_depth = self.round_robin.queue_depth(arrival.client, arrival.tenant);
+        let wait_ms = self.expected_wait_ms(arrival.client, arrival.tenant, queue_depth + 1);
         if client_depth >= self.bounds.max_queued_per_client {
             Some(ShedReason::ClientQueueFull)
         } else if self.round_robin.tenant_depth(arrival.tenant) >= self.bounds.max_queued_per_tenant {
@@ -252,7 +253,8 @@
         self.has_capacity() && fair_in_flight + light_share.min(capacity - 1) < capacity
     }
 
-    /// The expected wait of a request at `position` of its client's queue, counted from 1, in milliseconds.
+    /// The expected wait of a request at `position` of its client's queue at the tenant, counted from 1, in
+    /// milliseconds.
     fn expected_wait_ms(&self, client: ClientKey, tenant: TenantId, position: usize) -> f64 {
         let ExpectedShare { tenant: tenant_share, clients } = self.round_robin.expected_share(client, tenant);
         let rate_per_ms = self.limit.rate_per_ms() * tenant_share / clients as f64;
@@ -273,7 +275,7 @@
         if let Some(existing) = existing.filter(|existing| existing.until_ms >= now_ms) {
             return (existing.from_ms - now_ms).clamp(min_retry_after_ms, max_retry_after_ms);
         }
-        let position = self.round_robin.client_depth(client).max(1);
+        let position = self.round_robin.queue_depth(client, tenant).max(1);
         let earliest_ms = self.expected_wait_ms(client, tenant, position).max(min_retry_after_ms);
         if earliest_ms > max_retry_after_ms {
             self.counters.unreserved += 1;
@@ -398,3 +400,6 @@
             + self.reservations.heap_bytes()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/admission/round_robin.rs
+++ b/src/admission/round_robin.rs
@@ -34,7 +34,10 @@
     }
 }
 
-/// The queued requests of one client, oldest first.
+/// A queue's key. A client has a queue of its own at each tenant.
+pub type QueueKey = (TenantId, ClientKey);
+
+/// The queued requests of one client at one tenant, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct ClientQueue {
     requests: VecDeque<RequestId>,
@@ -44,6 +47,7 @@
 /// queued requests.
 #[derive(Clone, Debug, Default)]
 pub struct TenantQueue {
+    /// The clients with a queue at this tenant, each once.
     client_ring: VecDeque<ClientKey>,
     deficit: f64,
     queued_count: usize,
@@ -63,15 +67,25 @@
 #[derive(Debug)]
 pub struct RoundRobin {
     weights: Weights,
-    clients: AHashMap<ClientKey, ClientQueue>,
+    /// The queues that are not empty.
+    queues: AHashMap<QueueKey, ClientQueue>,
+    /// The number of queued requests of each client, over all tenants.
+    client_depths: AHashMap<ClientKey, usize>,
     tenants: AHashMap<TenantId, TenantQueue>,
+    /// The tenants with queued requests, each once.
     tenant_ring: VecDeque<TenantId>,
 }
 
 impl RoundRobin {
     /// Creates an empty scheduler.
     pub fn new(weights: Weights) -> Self {
-        Self { weights, clients: AHashMap::new(), tenants: AHashMap::new(), tenant_ring: VecDeque::new() }
+        Self {
+            weights,
+            queues: AHashMap::new(),
+            client_depths: AHashMap::new(),
+            tenants: AHashMap::new(),
+            tenant_ring: VecDeque::new(),
+        }
     }
 
     /// Replaces the weights. They apply from the next round; queued requests keep their place.
@@ -83,9 +97,14 @@
         }
     }
 
-    /// The number of queued requests of `client`.
+    /// The number of queued requests of `client`, over all tenants.
     pub fn client_depth(&self, client: ClientKey) -> usize {
-        self.clients.get(&client).map_or(0, |queue| queue.requests.len())
+        self.client_depths.get(&client).copied().unwrap_or(0)
+    }
+
+    /// The number of queued requests of `client` at `tenant`.
+    pub fn queue_depth(&self, client: ClientKey, tenant: TenantId) -> usize {
+        self.queues.get(&(tenant, client)).map_or(0, |queue| queue.requests.len())
     }
 
     /// The number of queued requests of `tenant`.
@@ -106,7 +125,7 @@
         let weight = self.weights.of(tenant);
         let joining_weight = if self.tenant_ring.contains(&tenant) { 0.0 } else { weight };
         let clients = self.tenants.get(&tenant).map_or(0, |queue| queue.client_ring.len())
-            + usize::from(!self.clients.contains_key(&client));
+            + usize::from(!self.queues.contains_key(&(tenant, client)));
         ExpectedShare {
             tenant: weight / (queued_weight + joining_weight).max(f64::MIN_POSITIVE),
             clients: clients.max(1),
@@ -115,16 +134,17 @@
 
     /// Queues a request.
     pub fn push(&mut self, client: ClientKey, tenant: TenantId, id: RequestId) {
-        let client_queue = self.clients.entry(client).or_default();
-        client_queue.requests.push_back(id);
-        let is_first = client_queue.requests.len() == 1;
+        let queue = self.queues.entry((tenant, client)).or_default();
+        let is_first_of_client = queue.requests.is_empty();
+        queue.requests.push_back(id);
+        *self.client_depths.entry(client).or_default() += 1;
         let tenant_queue = self.tenants.entry(tenant).or_default();
+        if tenant_queue.queued_count == 0 {
+            self.tenant_ring.push_back(tenant);
+        }
         tenant_queue.queued_count += 1;
-        if is_first {
+        if is_first_of_client {
             tenant_queue.client_ring.push_back(client);
-            if tenant_queue.client_ring.len() == 1 {
-                self.tenant_ring.push_back(tenant);
-            }
         }
     }
 
@@ -160,12 +180,12 @@
     fn pop_from(&mut self, tenant: TenantId) -> RequestId {
         let tenant_queue = self.tenants.get_mut(&tenant).expect("a tenant in the ring has a queue");
         let client = tenant_queue.client_ring.pop_front().expect("a tenant in the ring has clients");
-        let client_queue = self.clients.get_mut(&client).expect("a client in a ring has a queue");
-        let id = client_queue.requests.pop_front().expect("a client in a ring has requests");
+        let queue = self.queues.get_mut(&(tenant, client)).expect("a client in a ring has a queue");
+        let id = queue.requests.pop_front().expect("a client in a ring has requests");
         tenant_queue.deficit -= REQUEST_COST;
         tenant_queue.queued_count -= 1;
-        if client_queue.requests.is_empty() {
-            self.clients.remove(&client);
+        if queue.requests.is_empty() {
+            self.queues.remove(&(tenant, client));
         } else {
             tenant_queue.client_ring.push_back(client);
         }
@@ -175,20 +195,30 @@
         } else if tenant_queue.deficit < REQUEST_COST {
             self.tenant_ring.rotate_left(1);
         }
+        self.reduce_client_depth(client);
         id
     }
 
-    /// Removes a queued request at any position, because its client disconnected or it expired.
+    /// Removes a queued request at any position, because its client disconnected or it expired. Does nothing if
+    /// it is not queued.
     pub fn remove(&mut self, client: ClientKey, tenant: TenantId, id: RequestId) {
-        let Some(client_queue) = self.clients.get_mut(&client) else { return };
-        client_queue.requests.retain(|other_id| *other_id != id);
-        let is_last = client_queue.requests.is_empty();
-        if is_last {
-            self.clients.remove(&client);
+        let key = (tenant, client);
+        let Some(queue) = self.queues.get_mut(&key) else { return };
+        let Some(position) = queue.requests.iter().position(|other_id| *other_id == id) else { return };
+        queue.requests.remove(position);
+        let is_last_of_client = queue.requests.is_empty();
+        if is_last_of_client {
+            self.queues.remove(&key);
         }
+        self.reduce_client_depth(client);
+        self.remove_from_tenant(tenant, client, is_last_of_client);
+    }
+
+    /// Counts a request less for `tenant`, and removes from the rings what has no queued request any more.
+    fn remove_from_tenant(&mut self, tenant: TenantId, client: ClientKey, is_last_of_client: bool) {
         let Some(tenant_queue) = self.tenants.get_mut(&tenant) else { return };
         tenant_queue.queued_count -= 1;
-        if is_last {
+        if is_last_of_client {
             tenant_queue.client_ring.retain(|other_client| *other_client != client);
         }
         if tenant_queue.client_ring.is_empty() {
@@ -197,14 +227,26 @@
         }
     }
 
+    fn reduce_client_depth(&mut self, client: ClientKey) {
+        let Some(depth) = self.client_depths.get_mut(&client) else { return };
+        *depth -= 1;
+        if *depth == 0 {
+            self.client_depths.remove(&client);
+        }
+    }
+
     /// An estimate of the heap memory in use, in bytes.
     pub fn heap_bytes(&self) -> usize {
-        let client_requests: usize = self.clients.values().map(|queue| queue.requests.capacity()).sum();
+        let client_requests: usize = self.queues.values().map(|queue| queue.requests.capacity()).sum();
         let tenant_clients: usize = self.tenants.values().map(|queue| queue.client_ring.capacity()).sum();
-        self.clients.capacity() * (size_of::<(ClientKey, ClientQueue)>() + 1)
+        self.queues.capacity() * (size_of::<(QueueKey, ClientQueue)>() + 1)
+            + self.client_depths.capacity() * (size_of::<(ClientKey, usize)>() + 1)
             + client_requests * size_of::<RequestId>()
             + self.tenants.capacity() * (size_of::<(TenantId, TenantQueue)>() + 1)
             + tenant_clients * size_of::<ClientKey>()
             + self.tenant_ring.capacity() * size_of::<TenantId>()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/admission_loopback.rs
+++ b/tests/admission_loopback.rs
@@ -337,6 +337,35 @@
     });
 }
 
+/// Guards against a fair queue that keeps a client at a tenant where it has no request left: the next release
+/// panicked, and the response that caused it was lost.
+#[test]
+fn a_client_that_leaves_the_queues_of_two_tenants_takes_no_other_response_with_it() {
+    run(async {
+        let fleet = SlowCacheFleet::start(147, 4, 8, 600).await;
+        let admission = r#"{"limit":{"first":1,"least":1,"most":1},"reserve_share":0}"#;
+        let (_proxy, listen, mgmt) = start_proxy(&fleet, 147, "admission-two-tenants", admission).await;
+        let [running, leaving, waiting]: [IpAddr; 3] =
+            [40, 41, 42].map(|host| IpAddr::from([127, 0, 147, host]));
+        let wait_until_metric =
+            |name: &'static str, expected: u64| async move { while metric(mgmt, name).await != expected {} };
+        let first = spawn_local(send_request(listen, running, 1, false, false));
+        wait_until_metric("door_open ", 1).await;
+        let of_first_tenant = spawn_local(send_request_in_group(listen, leaving, 2, 1, false, false));
+        wait_until_metric("door_queued ", 1).await;
+        let of_second_tenant = spawn_local(send_request_in_group(listen, leaving, 3, 2, false, false));
+        wait_until_metric("door_queued ", 2).await;
+        let last = spawn_local(send_request_in_group(listen, waiting, 4, 3, false, false));
+        wait_until_metric("door_queued ", 3).await;
+        of_first_tenant.abort();
+        wait_until_metric("door_left_total ", 1).await;
+        of_second_tenant.abort();
+        wait_until_metric("door_left_total ", 2).await;
+        assert_eq!(first.await.unwrap().map(|response| response.status), Some(200));
+        assert_eq!(last.await.unwrap().map(|response| response.status), Some(200));
+    });
+}
+
 /// Guards against a client that repeats the id of another client's open request and takes its response.
 #[test]
 fn a_repeated_id_of_an_open_or_queued_request_is_refused_and_its_owner_gets_the_response() {
