Admission queue: measure its fill by the bound in force, not by the reloaded one

A reload of the admission file that changes queue_most takes effect after a restart only, but the fill that VRRP tracks was divided by the new value: a queue of 4 of 8 read as 2.0 after a reload to 2, and a router lowered its priority for nothing (or kept it when the queue was full). The queue, which owns the bound, now tells its fill.

Test: the fill before and after a reload; failed before with 2.0 in place of 0.5.

--- a/src/admission/control.rs
+++ b/src/admission/control.rs
@@ -50,9 +50,9 @@
         self.config = config;
     }
 
-    /// The number of queued requests as a fraction of `max_queued`.
+    /// The number of queued requests as a fraction of the maximum in force.
     pub fn queue_fill(&self) -> f64 {
-        self.queue.queued() as f64 / self.config.max_queued.max(1) as f64
+        self.queue.fill()
     }
 
     /// Decides on a newly received request. Returns the request if it must be forwarded to the engine now,
@@ -138,3 +138,6 @@
         _ => Completion::Other,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/admission/fair_queue.rs
+++ b/src/admission/fair_queue.rs
@@ -126,6 +126,11 @@
         self.queued.len()
     }
 
+    /// The number of queued requests as a fraction of its bound.
+    pub fn fill(&self) -> f64 {
+        self.queued.len() as f64 / self.bounds.max_queued.max(1) as f64
+    }
+
     /// The number of reservations.
     pub fn reservations(&self) -> usize {
         self.reservations.len()
