Admission control: a panic of the queue loses no response and no queued request

Cause: AdmissionControl::complete runs in the delivery of another request's response (Executor::complete_request), of gRPC in a drop. Nothing stood between them.

Change: panics::contain; AdmissionControl contains each call of its queue. After a panic it builds the queue's indexes anew from the tables of queued and admitted requests, in the order of arrival, and runs the operation again; if that panics too, all queued requests are shed at once. A request whose own decision panics is shed. Queued requests that a panic has left in no table are shed by the next expiry. door_panics_total counts panics.

The model test of the fair queue now also rebuilds the indexes at random.

--- a/src/admission/control.rs
+++ b/src/admission/control.rs
@@ -1,10 +1,12 @@
-//! The interface of admission control to the executor. [`FairQueue`] makes the decisions; this module stores
-//! the queued requests.
+//! The interface of admission control to its users. [`FairQueue`] makes the decisions; this module stores the
+//! queued requests, and contains panics of the queue: they may lose the decision about one request, never the
+//! responses to others.
 
 use super::config::{AdmissionConfig, ExemptNetworks};
 use super::decision::{AdmissionDecision, Arrival, Completion, ExpiredRequest};
 use super::fair_queue::FairQueue;
 use super::metrics::AdmissionMetrics;
+use crate::panics::{contain, Panicked};
 use crate::state::requests::{FinalResponse, IncomingRequest};
 use crate::RequestId;
 use ahash::AHashMap;
@@ -27,6 +29,8 @@
     config: AdmissionConfig,
     exempt: ExemptNetworks,
     queued: AHashMap<RequestId, IncomingRequest>,
+    /// After a panic, requests may be in `queued` that the queue has forgotten; the next expiry sheds them.
+    may_have_forgotten: bool,
     metrics: AdmissionMetrics,
 }
 
@@ -38,6 +42,7 @@
             exempt: config.exempt_networks(),
             config,
             queued: AHashMap::new(),
+            may_have_forgotten: false,
             metrics: AdmissionMetrics::new(metrics_prefix),
         }
     }
@@ -73,7 +78,11 @@
             deadline_ms: request.deadline_ms,
             body_bytes: request.body.len(),
         };
-        match self.queue.submit(now_ms, arrival) {
+        let Ok(decision) = contain(|| self.queue.submit(now_ms, arrival)) else {
+            self.recover(|queue| queue.forget(arrival.id));
+            return Err(NotAdmitted::Shed { retry_after_ms: 0.0 });
+        };
+        match decision {
             AdmissionDecision::Admit => Ok(Some(request)),
             AdmissionDecision::Queue => {
                 self.queued.insert(request.id, request);
@@ -92,35 +101,81 @@
         id: RequestId,
         response: Option<&FinalResponse>,
     ) -> Vec<IncomingRequest> {
-        let released = self.queue.complete(now_ms, id, completion(response));
+        let completion = completion(response);
+        let released = contain(|| self.queue.complete(now_ms, id, completion));
+        let released = released.unwrap_or_else(|Panicked| {
+            self.recover(|queue| drop(queue.complete(now_ms, id, completion)));
+            self.queued.keys().copied().filter(|id| self.queue.is_in_flight(*id)).collect()
+        });
         released.into_iter().filter_map(|id| self.queued.remove(&id)).collect()
     }
 
     /// Removes a request from the queue after its client disconnected. Returns whether it was queued; if so,
     /// it was not forwarded.
     pub fn remove_disconnected(&mut self, id: RequestId) -> bool {
-        self.queued.remove(&id);
-        self.queue.remove_disconnected(id)
+        let was_queued = self.queued.remove(&id).is_some();
+        if contain(|| self.queue.remove_disconnected(id)).is_err() {
+            self.recover(|queue| {
+                queue.remove_disconnected(id);
+            });
+        }
+        was_queued
     }
 
     /// Limits the deadlines of all queued requests to a time in Unix milliseconds.
     pub fn limit_deadlines(&mut self, limit_ms: f64) {
         let queued = self.queued.values_mut();
         queued.for_each(|request| request.deadline_ms = request.deadline_ms.min(limit_ms));
-        self.queue.limit_deadlines(limit_ms);
+        if contain(|| self.queue.limit_deadlines(limit_ms)).is_err() {
+            self.recover(|queue| queue.limit_deadlines(limit_ms));
+        }
     }
 
     /// Sheds the queued requests with no more than [`AdmissionConfig::min_service_ms`] left before their
     /// deadline, and returns them.
     pub fn expire(&mut self, now_ms: f64) -> Vec<ExpiredRequest> {
-        let expired = self.queue.expire(now_ms);
+        let expired = contain(|| self.queue.expire(now_ms));
+        let mut expired = expired.unwrap_or_else(|Panicked| {
+            self.recover(|queue| drop(queue.expire(now_ms)));
+            Vec::new()
+        });
         expired.iter().for_each(|request| drop(self.queued.remove(&request.id)));
+        if std::mem::take(&mut self.may_have_forgotten) {
+            expired.extend(self.remove_forgotten());
+        }
         expired
     }
 
+    /// Removes the stored requests that the queue has forgotten in a panic, and returns them as shed.
+    fn remove_forgotten(&mut self) -> Vec<ExpiredRequest> {
+        let queue = &self.queue;
+        let forgotten = self.queued.extract_if(|id, _| !queue.is_queued(*id) && !queue.is_in_flight(*id));
+        forgotten.map(|(id, _)| ExpiredRequest { id, retry_after_ms: 0.0 }).collect()
+    }
+
+    /// Repairs the queue after a panic, then runs `operation`, which is the one that panicked or undoes its part.
+    /// If that panics too, the queue forgets all queued requests.
+    fn recover(&mut self, operation: impl FnOnce(&mut FairQueue)) {
+        tracing::error!("admission control panicked: rebuilding its queue");
+        self.queue.counters.panics += 1;
+        self.may_have_forgotten = true;
+        let repaired = contain(|| {
+            self.queue.rebuild_indexes();
+            operation(&mut self.queue);
+        });
+        if repaired.is_err() {
+            tracing::error!("admission control panicked again: shedding all queued requests");
+            self.queue.counters.panics += 1;
+            self.queue.forget_queued();
+        }
+    }
+
     /// The earliest time at which [`Self::expire`] has a request to shed, Unix milliseconds.
     pub fn next_expiry_ms(&self) -> Option<f64> {
-        self.queue.next_expiry_ms()
+        match self.may_have_forgotten {
+            true => Some(0.0),
+            false => self.queue.next_expiry_ms(),
+        }
     }
 
     /// Encodes the metrics in the Prometheus text format.
--- a/src/admission/decision.rs
+++ b/src/admission/decision.rs
@@ -117,6 +117,8 @@
     pub unreserved: u64,
     /// Reservations that expired unused.
     pub reservations_expired: u64,
+    /// Operations that panicked.
+    pub panics: u64,
 }
 
 impl AdmissionCounters {
--- a/src/admission/fair_queue.rs
+++ b/src/admission/fair_queue.rs
@@ -58,6 +58,8 @@
     queue: Queue,
     /// The request's key in [`FairQueue::expiries`].
     expiry_key: u64,
+    /// The number of requests that were queued before it.
+    sequence: u64,
 }
 
 /// An admitted request.
@@ -80,6 +82,8 @@
     light_in_flight: usize,
     queued: AHashMap<RequestId, QueuedRequest>,
     queued_bytes: usize,
+    /// The number of requests that have been queued.
+    last_sequence: u64,
     round_robin: RoundRobin,
     /// The queued requests that use a reservation.
     reserved_queue: VecDeque<RequestId>,
@@ -103,6 +107,7 @@
             light_in_flight: 0,
             queued: AHashMap::new(),
             queued_bytes: 0,
+            last_sequence: 0,
             round_robin: RoundRobin::new(weights),
             reserved_queue: VecDeque::new(),
             expiries: BTreeSet::new(),
@@ -126,6 +131,16 @@
         self.queued.len()
     }
 
+    /// Whether a request is admitted and in flight.
+    pub fn is_in_flight(&self, id: RequestId) -> bool {
+        self.in_flight.contains_key(&id)
+    }
+
+    /// Whether a request is queued.
+    pub fn is_queued(&self, id: RequestId) -> bool {
+        self.queued.contains_key(&id)
+    }
+
     /// The number of queued requests as a fraction of its bound.
     pub fn fill(&self) -> f64 {
         self.queued.len() as f64 / self.bounds.max_queued.max(1) as f64
@@ -208,22 +223,66 @@
     }
 
     fn record_in_flight(&mut self, now_ms: f64, id: RequestId, client: ClientKey, in_light_share: bool) {
-        self.in_flight.insert(id, InFlight { admitted_at_ms: now_ms, client, in_light_share });
-        *self.in_flight_by_client.entry(client).or_default() += 1;
-        self.light_in_flight += usize::from(in_light_share);
+        let request = InFlight { admitted_at_ms: now_ms, client, in_light_share };
+        self.in_flight.insert(id, request);
+        self.index_in_flight(&request);
+    }
+
+    /// Adds a request of the table of admitted requests to all indexes.
+    fn index_in_flight(&mut self, request: &InFlight) {
+        *self.in_flight_by_client.entry(request.client).or_default() += 1;
+        self.light_in_flight += usize::from(request.in_light_share);
+    }
+
+    /// Builds all indexes anew from the tables of queued and admitted requests, after a panic that may have left
+    /// them inconsistent. Reservations are dropped.
+    pub fn rebuild_indexes(&mut self) {
+        self.in_flight_by_client.clear();
+        self.light_in_flight = 0;
+        self.queued_bytes = 0;
+        self.reserved_queue.clear();
+        self.expiries.clear();
+        self.round_robin = RoundRobin::new(self.round_robin.weights().clone());
+        self.reservations = ReservationTable::new(self.bounds.max_reservations);
+        let in_flight: Vec<InFlight> = self.in_flight.values().copied().collect();
+        in_flight.iter().for_each(|request| self.index_in_flight(request));
+        let mut queued: Vec<_> = self.queued.iter().map(|(id, request)| (*id, *request)).collect();
+        queued.sort_unstable_by_key(|(_, request)| request.sequence);
+        queued.iter().for_each(|(id, request)| self.index_queued(*id, request));
+    }
+
+    /// Forgets a request, whether it is queued or in flight.
+    pub fn forget(&mut self, id: RequestId) {
+        self.queued.remove(&id);
+        self.in_flight.remove(&id);
+        self.rebuild_indexes();
+    }
+
+    /// Forgets all queued requests.
+    pub fn forget_queued(&mut self) {
+        self.queued.clear();
+        self.rebuild_indexes();
     }
 
     fn enqueue(&mut self, arrival: Arrival, queue: Queue) -> AdmissionDecision {
         let Arrival { id, client, tenant, deadline_ms, body_bytes } = arrival;
         let expiry_key = self.expiry_key(deadline_ms);
-        self.queued.insert(id, QueuedRequest { client, tenant, body_bytes, queue, expiry_key });
-        self.queued_bytes += body_bytes;
-        self.expiries.insert((expiry_key, id));
-        match queue {
+        self.last_sequence += 1;
+        let sequence = self.last_sequence;
+        let request = QueuedRequest { client, tenant, body_bytes, queue, expiry_key, sequence };
+        self.queued.insert(id, request);
+        self.index_queued(id, &request);
+        AdmissionDecision::Queue
+    }
+
+    /// Adds a request of the table of queued requests to all indexes.
+    fn index_queued(&mut self, id: RequestId, request: &QueuedRequest) {
+        self.queued_bytes += request.body_bytes;
+        self.expiries.insert((request.expiry_key, id));
+        match request.queue {
             Queue::Reserved => self.reserved_queue.push_back(id),
-            Queue::RoundRobin => self.round_robin.push(client, tenant, id),
+            Queue::RoundRobin => self.round_robin.push(request.client, request.tenant, id),
         }
-        AdmissionDecision::Queue
     }
 
     /// The key in [`Self::expiries`] of a request with this deadline.
@@ -315,16 +374,16 @@
         None
     }
 
-    /// Removes a queued request from the queues and the expiry set.
+    /// Removes a queued request from the queues and the expiry set, and last from the table.
     fn remove(&mut self, id: RequestId) -> Option<QueuedRequest> {
-        let request = self.queued.remove(&id)?;
-        self.queued_bytes -= request.body_bytes;
-        self.expiries.remove(&(request.expiry_key, id));
+        let request = *self.queued.get(&id)?;
         match request.queue {
             Queue::Reserved => self.reserved_queue.retain(|queued| *queued != id),
             Queue::RoundRobin => self.round_robin.remove(request.client, request.tenant, id),
         }
-        Some(request)
+        self.expiries.remove(&(request.expiry_key, id));
+        self.queued_bytes -= request.body_bytes;
+        self.queued.remove(&id)
     }
 
     /// Removes a request from the queue after its client disconnected. Returns whether it was queued.
--- a/src/admission/fair_queue/tests.rs
+++ b/src/admission/fair_queue/tests.rs
@@ -25,6 +25,7 @@
     LimitDeadlines { after_ms: f64 },
     SetWeights { first_tenant: f64, default: f64 },
     Advance { ms: f64 },
+    RebuildIndexes,
 }
 
 fn operation() -> impl Strategy<Value = Operation> {
@@ -44,6 +45,7 @@
         1 => (0.01..4.0, 0.01..4.0)
             .prop_map(|(first_tenant, default)| Operation::SetWeights { first_tenant, default }),
         4 => (0.0..400.0).prop_map(|ms| Operation::Advance { ms }),
+        1 => Just(Operation::RebuildIndexes),
     ]
 }
 
@@ -180,6 +182,7 @@
             queue.set_weights(Weights { default, by_tenant: AHashMap::from_iter([(0, first_tenant)]) });
         }
         Operation::Advance { ms } => *now += ms,
+        Operation::RebuildIndexes => queue.rebuild_indexes(),
     }
 }
 
@@ -219,3 +222,15 @@
         prop_assert!(reference.queued.is_empty());
     }
 }
+
+impl FairQueue {
+    /// Makes the next release panic.
+    pub(in crate::admission) fn corrupt(&mut self) {
+        self.round_robin.corrupt();
+    }
+
+    /// Makes the next decision about a client that has a reservation panic.
+    pub(in crate::admission) fn corrupt_bounds(&mut self) {
+        self.bounds.min_retry_after_ms = f64::INFINITY;
+    }
+}
--- a/src/admission/metrics.rs
+++ b/src/admission/metrics.rs
@@ -23,6 +23,7 @@
     reservations_used: Counter,
     unreserved: Counter,
     reservations_expired: Counter,
+    panics: Counter,
     depth: Family<Labels, Gauge>,
     in_flight: Gauge,
     queued: Gauge,
@@ -45,6 +46,7 @@
             reservations_used: Counter::default(),
             unreserved: Counter::default(),
             reservations_expired: Counter::default(),
+            panics: Counter::default(),
             depth: Family::default(),
             in_flight: Gauge::default(),
             queued: Gauge::default(),
@@ -83,6 +85,7 @@
             "Reservations that expired unused",
             self.reservations_expired.clone(),
         );
+        registry.register("panics", "Operations that panicked", self.panics.clone());
     }
 
     fn register_gauges(&mut self) {
@@ -125,6 +128,7 @@
         self.reservations_used.inc_by(current.reservations_used - previous.reservations_used);
         self.unreserved.inc_by(current.unreserved - previous.unreserved);
         self.reservations_expired.inc_by(current.reservations_expired - previous.reservations_expired);
+        self.panics.inc_by(current.panics - previous.panics);
         for reason in ShedReason::ALL {
             let shed = current.shed_for(reason) - previous.shed_for(reason);
             self.shed.get_or_create(&reason_label(reason)).inc_by(shed);
--- a/src/admission/round_robin.rs
+++ b/src/admission/round_robin.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// The weights in force.
+    pub fn weights(&self) -> &Weights {
+        &self.weights
+    }
+
     /// The number of queued requests of `client`, over all tenants.
     pub fn client_depth(&self, client: ClientKey) -> usize {
         self.client_depths.get(&client).copied().unwrap_or(0)
--- a/src/admission/round_robin/tests.rs
+++ b/src/admission/round_robin/tests.rs
@@ -183,3 +183,10 @@
         prop_assert_eq!(round_robin.pop(), None);
     }
 }
+
+impl RoundRobin {
+    /// Puts a tenant without a queue into the ring, as faulty bookkeeping would: the next release panics.
+    pub(in crate::admission) fn corrupt(&mut self) {
+        self.tenant_ring.push_front(TenantId::MAX);
+    }
+}
--- a/src/engine/executor.rs
+++ b/src/engine/executor.rs
@@ -344,3 +344,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/engine/executor/tests.rs
@@ -0,0 +1,110 @@
+//! Tests of responses that are delivered although something else panics.
+
+use super::*;
+use crate::admission::config::AdmissionConfig;
+use crate::cache_message::{CacheCommand, CacheReply, ReplyStatus};
+use crate::endpoint_list::{EndpointRecord, ListedEndpoint, Sequenced, WatchEvent};
+use crate::engine::{EngineLimits, NextWrite};
+use crate::state::connections::ConnectionLimits;
+use crate::text::parse_hex16;
+use crate::EndpointState;
+use std::time::Duration;
+
+/// A stand-in for an endpoint that serves one request for each permit.
+struct OneAtATime {
+    permits: Rc<tokio::sync::Semaphore>,
+}
+
+impl ConnectionDriver for OneAtATime {
+    fn drive(&self, executor: Rc<Executor>, dial: Dial) -> LocalBoxFuture<'static, ()> {
+        let permits = self.permits.clone();
+        Box::pin(async move {
+            executor.with(|engine| engine.connection_established(dial.conn));
+            loop {
+                match executor.with(|engine| engine.next_write(dial.conn)) {
+                    NextWrite::Write(CacheCommand::Send(request)) => {
+                        permits.acquire().await.expect("the semaphore is open").forget();
+                        let id = parse_hex16(&request.id).expect("an id of 16 digits");
+                        let reply = CacheReply::new(id, ReplyStatus::Served);
+                        executor.with(|engine| engine.handle_reply(dial.conn, reply));
+                    }
+                    NextWrite::Write(CacheCommand::Cancel(_)) => {}
+                    NextWrite::Idle => dial.waker.notified().await,
+                    NextWrite::Close => return,
+                }
+            }
+        })
+    }
+}
+
+fn settings() -> PlatformSettings {
+    let text = r#"{"classes":[{"name":"clip","deadlineUs":5000000,"promiseUs":600000,"semantics":"pure"}],
+        "familyInfo":{"mayPassBy":true,"midKind":1,"rootKind":2},"localities":["hub"],"locality":"hub",
+        "skus":["box","parent","origin"],"siblings":1,
+        "policyLimits":{"cancelling":true,"connectTimeoutUs":400000,"sendCap":8,"streamsPerConn":4}}"#;
+    serde_json::from_str(text).expect("the settings are valid")
+}
+
+/// Starts an executor with one endpoint of each tier, which admits one request at a time.
+fn start(driver: impl ConnectionDriver + 'static) -> Rc<Executor> {
+    let clock = Clock::manual(1_000_000.0);
+    let connections =
+        ConnectionLimits { total: 8, per_endpoint: 4, spread_above: 4, streams_per_connection: 4 };
+    let limits = EngineLimits { requests: 9, connections };
+    let engine = Engine::new(clock.clone(), Rc::new(settings()), 7, limits);
+    let executor = Executor::new(clock, engine, driver);
+    let endpoint = |id: EndpointId, kind: &str| {
+        let record = EndpointRecord {
+            id,
+            state: EndpointState::Active,
+            zone: "hub".into(),
+            kind: kind.into(),
+            started_at: 0,
+            capacity_hint: Some(4.0),
+            cell: 0,
+        };
+        ListedEndpoint { record, address: SocketAddrV4::new([127, 0, 0, 1].into(), 5_000 + id as u16) }
+    };
+    let endpoints = vec![endpoint(1, "box"), endpoint(2, "parent"), endpoint(3, "origin")];
+    let event = WatchEvent::Endpoints { full: true, endpoints };
+    executor.with(|engine| engine.apply_event(Sequenced { number: 1, event }));
+    let limit_of_one = r#"{"limit":{"first":1,"least":1,"most":1},"reserve_share":0}"#;
+    let config: AdmissionConfig = serde_json::from_str(limit_of_one).expect("the configuration is valid");
+    executor.set_admission(AdmissionControl::new(config, "test"));
+    executor
+}
+
+fn request(executor: &Executor, id: RequestId, patience_ms: f64) -> IncomingRequest {
+    IncomingRequest {
+        id,
+        id_text: format!("{id:016x}"),
+        object: id,
+        deadline_ms: executor.clock.now() + patience_ms,
+        client: Some([10, 0, 0, id as u8].into()),
+        ..IncomingRequest::default()
+    }
+}
+
+/// Runs a test on a local task set. The time limit only stops a test that hangs.
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let bounded = async { tokio::time::timeout(Duration::from_secs(20), test).await };
+    tokio::task::LocalSet::new().block_on(&runtime, bounded).expect("the test hangs");
+}
+
+/// Guards against a panic of admission control that takes the response of the request that has just ended, and
+/// those of the queued ones.
+#[test]
+fn a_panic_of_admission_control_takes_no_response_with_it() {
+    run(async {
+        let permits = Rc::new(tokio::sync::Semaphore::new(0));
+        let executor = start(OneAtATime { permits: permits.clone() });
+        let responses = [1, 2, 3].map(|id| executor.submit(request(&executor, id, 5_000.0)));
+        executor.with_admission(AdmissionControl::corrupt);
+        permits.add_permits(3);
+        for response in responses {
+            let response = response.expect("the request is accepted").await;
+            assert!(matches!(response, Ok(FinalResponse::Served { .. })), "{response:?}");
+        }
+    });
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -83,6 +83,7 @@
 pub mod lifecycle;
 pub mod lock_file;
 pub mod message_auth;
+pub mod panics;
 mod policy;
 pub mod purge;
 pub mod registry;
