Engine: a panic in one request's handling fails that request, and no other

Cause: decisions run in the task of whoever moves a request on. ConnectionGuard called the engine while a panic unwound, and Executor::with left the effects of a panicking call undone.

Change: Router::handle_contained (also for gRPC's pools), Engine::contain around replies, writes, time-outs and actions: the request gets 502, reason internal_error, and its attempts are cancelled. A lost connection is reported after the panic has unwound; pending effects are carried out first. A write is recorded as recent before it is entered as in flight, so that a panic there leaves no entry.

Tests: tests/panics.rs (real connections), the executor's, the pool's and the router's.

--- a/src/engine/attempts.rs
+++ b/src/engine/attempts.rs
@@ -122,12 +122,12 @@
             group = Some(request.group);
         }
         let connection = self.connections.get_mut(attempt.conn)?;
-        connection.last_active_ms = now;
-        connection.in_flight.insert(id.request, id);
-        attempt.stage = Stage::Written(now);
         if !self.settings.is_idempotent(request.class) {
             self.recent_writes.record(now, id.request);
         }
+        connection.last_active_ms = now;
+        connection.in_flight.insert(id.request, id);
+        attempt.stage = Stage::Written(now);
         tracing::debug!(
             id = request.id_text,
             attempt = id.number,
--- a/src/engine/connections.rs
+++ b/src/engine/connections.rs
@@ -94,7 +94,8 @@
             let Some(id) = connection.queue.pop_front() else {
                 return if connection.is_finished() { NextWrite::Close } else { NextWrite::Idle };
             };
-            if let Some(request) = self.begin_write(now, id) {
+            let begun = self.contain(id.request, |engine| engine.begin_write(now, id));
+            if let Some(request) = begun.flatten() {
                 return NextWrite::Write(CacheCommand::Send(Box::new(request)));
             }
             self.counters.attempts_stale += 1;
--- a/src/engine/executor.rs
+++ b/src/engine/executor.rs
@@ -9,11 +9,12 @@
 use crate::state::request_memory::RequestMemory;
 use crate::state::requests::{FinalResponse, IncomingRequest, SubmitError, FULL_RETRY_AFTER_MS};
 use crate::{EndpointId, RequestId};
-use futures_util::future::LocalBoxFuture;
+use futures_util::future::{FutureExt, LocalBoxFuture};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::{SocketAddr, SocketAddrV4};
+use std::panic::{catch_unwind, resume_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 
@@ -113,11 +114,12 @@
         engine + &self.request_memory.metrics() + &admission + &subsystems
     }
 
-    /// Runs `f` on the engine and carries out the resulting effects.
+    /// Runs `f` on the engine and carries out the resulting effects, also those before a panic of `f`: they may
+    /// be the responses to other requests.
     pub fn with<R>(self: &Rc<Self>, f: impl FnOnce(&mut Engine) -> R) -> R {
-        let result = f(&mut self.engine.borrow_mut());
+        let result = catch_unwind(AssertUnwindSafe(|| f(&mut self.engine.borrow_mut())));
         self.run_effects();
-        result
+        result.unwrap_or_else(|panic| resume_unwind(panic))
     }
 
     /// The current settings.
@@ -176,8 +178,12 @@
         let dial = Dial { conn, address, connect_timeout_ms, waker };
         let executor = self.clone();
         self.spawn("endpoint connection", async move {
-            let _guard = ConnectionGuard { executor: executor.clone(), conn };
-            executor.driver.drive(executor.clone(), dial).await;
+            let driven = AssertUnwindSafe(executor.driver.drive(executor.clone(), dial)).catch_unwind().await;
+            executor.wakers.borrow_mut().remove(&conn);
+            if driven.is_err() {
+                executor.count_panic("endpoint connection");
+                executor.with(|engine| engine.connection_lost(conn));
+            }
         });
     }
 
@@ -299,18 +305,20 @@
     /// Spawns a task. A panic in it is logged with `what` as the task's name, and counted; it does not affect
     /// other tasks.
     pub fn spawn(self: &Rc<Self>, what: &'static str, task: impl Future<Output = ()> + 'static) {
-        let task = tokio::task::spawn_local(task);
         let executor = self.clone();
         tokio::task::spawn_local(async move {
-            if let Err(error) = task.await {
-                if error.is_panic() {
-                    executor.engine.borrow_mut().counters.panics += 1;
-                    tracing::error!(what, "task panicked");
-                }
+            if AssertUnwindSafe(task).catch_unwind().await.is_err() {
+                executor.count_panic(what);
             }
         });
     }
 
+    /// Counts and logs a panic in `what`.
+    pub fn count_panic(&self, what: &'static str) {
+        self.engine.borrow_mut().counters.panics += 1;
+        tracing::error!(what, "panicked");
+    }
+
     /// Runs the timers of the engine and of admission control. Never returns.
     pub async fn run_timers(self: Rc<Self>) {
         loop {
@@ -329,21 +337,5 @@
     }
 }
 
-/// Removes a connection's waker when its driver ends. After a panic of the driver, also reports the
-/// connection to the engine as lost.
-struct ConnectionGuard {
-    executor: Rc<Executor>,
-    conn: ConnectionId,
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.executor.wakers.borrow_mut().remove(&self.conn);
-        if std::thread::panicking() {
-            self.executor.with(|engine| engine.connection_lost(self.conn));
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/engine/executor/tests.rs
+++ b/src/engine/executor/tests.rs
@@ -8,6 +8,7 @@
 use crate::state::connections::ConnectionLimits;
 use crate::text::parse_hex16;
 use crate::EndpointState;
+use std::cell::Cell;
 use std::time::Duration;
 
 /// A stand-in for an endpoint that serves one request for each permit.
@@ -38,8 +39,9 @@
 }
 
 fn settings() -> PlatformSettings {
-    let text = r#"{"classes":[{"name":"clip","deadlineUs":5000000,"promiseUs":600000,"semantics":"pure"}],
-        "familyInfo":{"mayPassBy":true,"midKind":1,"rootKind":2},"localities":["hub"],"locality":"hub",
+    let text = r#"{"classes":[{"name":"clip","deadlineUs":5000000,"promiseUs":600000,"semantics":"pure"},
+        {"name":"post","deadlineUs":5000000,"promiseUs":600000,"semantics":"side_effect"}],
+        "familyInfo":{"uncached":[false,true],"mayPassBy":true,"midKind":1,"rootKind":2},"localities":["hub"],"locality":"hub",
         "skus":["box","parent","origin"],"siblings":1,
         "policyLimits":{"cancelling":true,"connectTimeoutUs":400000,"sendCap":8,"streamsPerConn":4}}"#;
     serde_json::from_str(text).expect("the settings are valid")
@@ -108,3 +110,40 @@
         }
     });
 }
+
+/// A driver that panics once its first request has been written; later connections are served by the other one.
+struct PanicsOnce {
+    inner: OneAtATime,
+    has_panicked: Rc<Cell<bool>>,
+}
+
+impl ConnectionDriver for PanicsOnce {
+    fn drive(&self, executor: Rc<Executor>, dial: Dial) -> LocalBoxFuture<'static, ()> {
+        if self.has_panicked.replace(true) {
+            return self.inner.drive(executor, dial);
+        }
+        Box::pin(async move {
+            executor.with(|engine| engine.connection_established(dial.conn));
+            let written = executor.with(|engine| engine.next_write(dial.conn));
+            assert!(matches!(written, NextWrite::Write(_)));
+            panic!("intentional panic");
+        })
+    }
+}
+
+/// Guards against a second panic while the first one unwinds, which aborts the process: the end of the connection
+/// ends a request, for which admission control panics too.
+#[test]
+fn a_panic_of_a_connection_and_one_of_admission_control_lose_no_response() {
+    run(async {
+        let inner = OneAtATime { permits: Rc::new(tokio::sync::Semaphore::new(8)) };
+        let executor = start(PanicsOnce { inner, has_panicked: Rc::default() });
+        let write = IncomingRequest { class: 1, ..request(&executor, 1, 5_000.0) };
+        let failed = executor.submit(write).expect("the request is accepted");
+        let queued = executor.submit(request(&executor, 2, 5_000.0)).expect("the request is queued");
+        executor.with_admission(AdmissionControl::corrupt);
+        assert_eq!(failed.await, Ok(FinalResponse::Failed { overdue: false }));
+        assert!(matches!(queued.await, Ok(FinalResponse::Served { .. })));
+        assert_eq!(executor.with(|engine| engine.counters.panics), 1);
+    });
+}
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -2,11 +2,12 @@
 //! carries out the [`Action`]s that the router returns. It does no I/O: it returns the operations on sockets
 //! as [`Effect`]s.
 //!
-//! `requests` accepts requests; `attempts` and `connections` send attempts to endpoints; `replies` handles
+//! `requests` accepts requests; `containment` limits a panic to the request that caused it; `attempts` and `connections` send attempts to endpoints; `replies` handles
 //! their replies; `membership` applies endpoint lists; `executor` carries out the effects.
 
 mod attempts;
 mod connections;
+mod containment;
 mod effects;
 pub mod executor;
 mod membership;
@@ -156,7 +157,7 @@
     pub fn tick(&mut self) {
         let now = self.clock.now();
         while let Some(id) = self.attempts.pop_overdue(now) {
-            self.expire_attempt(now, id);
+            self.contain(id.request, |engine| engine.expire_attempt(now, id));
             self.process_events();
         }
         while let Some(token) = self.timers.pop_due(now, |_, _| true) {
@@ -192,10 +193,12 @@
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
             let now = micros_from_ms(self.clock.now());
-            self.router.handle(now, &event, &mut actions);
+            if self.router.handle_contained(now, &event, &mut actions).is_err() {
+                self.count_panic(event.request_id());
+            }
             // For replays of the router's decisions; off unless the log filter names this target.
             tracing::trace!(target: "decisions", now, ?event, ?actions);
-            actions.drain(..).for_each(|action| self.apply_action(action));
+            actions.drain(..).for_each(|action| self.apply_action_contained(action));
             self.actions = actions;
         }
     }
--- a/src/engine/replies.rs
+++ b/src/engine/replies.rs
@@ -2,7 +2,7 @@
 
 use super::{Effect, Engine};
 use crate::cache_message::{CacheReply, ReplyStatus};
-use crate::state::ids::ConnectionId;
+use crate::state::ids::{AttemptId, ConnectionId};
 use crate::state::requests::FinalResponse;
 use crate::{AttemptOutcome, EndReason, RequestId};
 
@@ -25,6 +25,15 @@
             return;
         };
         connection.exclude(id.request);
+        self.contain(id.request, |engine| engine.apply_reply(id, reply));
+        // Has no effect unless the reply's handling panicked.
+        self.end_attempt(id, AttemptOutcome::Malformed);
+        self.process_events();
+        self.effects.push_back(Effect::Wake(conn));
+    }
+
+    /// Ends an attempt with its reply, and answers the request if the reply has content.
+    fn apply_reply(&mut self, id: AttemptId, reply: CacheReply) {
         let cache_status = reply.response_path.into();
         let outcome = self.count_reply(reply.status);
         if outcome != AttemptOutcome::Served {
@@ -35,8 +44,6 @@
             self.respond(id.request, final_response(reply), None);
             self.end_attempt_with_status(id, outcome, cache_status);
         }
-        self.process_events();
-        self.effects.push_back(Effect::Wake(conn));
     }
 
     /// Counts a reply and returns the outcome of its attempt.
--- a/src/grpc/metrics.rs
+++ b/src/grpc/metrics.rs
@@ -27,6 +27,7 @@
     not_sent: Counters,
     failed_after_data: Counters,
     deadlines_shortened: Counters,
+    panics: Counters,
     live_backends: Family<Labels, Gauge>,
     ejected_backends: Family<Labels, Gauge>,
     open_calls: Gauge,
@@ -43,7 +44,7 @@
         let mut registry = Registry::with_prefix("grpc");
         let (calls, codes, attempts, retries, not_sent) =
             <(Counters, Counters, Counters, Counters, Counters)>::default();
-        let (failed_after_data, deadlines_shortened) = <(Counters, Counters)>::default();
+        let (failed_after_data, deadlines_shortened, panics) = <(Counters, Counters, Counters)>::default();
         let (live_backends, ejected_backends) = <(Family<Labels, Gauge>, Family<Labels, Gauge>)>::default();
         let (open_calls, replay_bytes, connections) = <(Gauge, Gauge, Gauge)>::default();
         let response_head_seconds = Histogram::new(exponential_buckets(0.001, 2.0, 14));
@@ -66,6 +67,7 @@
             "Calls whose client deadline was shortened to the route's",
             deadlines_shortened.clone(),
         );
+        registry.register("panics", "Decisions that panicked", panics.clone());
         registry.register("backends_live", "Backends that accept new calls", live_backends.clone());
         registry.register(
             "backends_avoided",
@@ -83,7 +85,7 @@
         #[rustfmt::skip]
         let metrics = Self {
             registry, calls, codes, attempts, retries, not_sent, failed_after_data, deadlines_shortened,
-            live_backends, ejected_backends, open_calls, replay_bytes, connections, response_head_seconds,
+            panics, live_backends, ejected_backends, open_calls, replay_bytes, connections, response_head_seconds,
             last_reported: HashMap::new(),
         };
         metrics
@@ -126,6 +128,7 @@
             (&self.not_sent, counters.not_sent, last.not_sent),
             (&self.failed_after_data, counters.failed_after_data, last.failed_after_data),
             (&self.deadlines_shortened, counters.deadlines_shortened, last.deadlines_shortened),
+            (&self.panics, counters.panics, last.panics),
         ] {
             family.get_or_create(&labels).inc_by(count - last_count);
         }
--- a/src/grpc/pool.rs
+++ b/src/grpc/pool.rs
@@ -41,6 +41,8 @@
     pub failed_after_data: u64,
     /// Calls whose route has a shorter deadline than the client's timeout.
     pub deadlines_shortened: u64,
+    /// Decisions that panicked.
+    pub panics: u64,
 }
 
 impl PoolCounters {
@@ -114,7 +116,7 @@
         let mut entries: Vec<Endpoint> = self.backends.values().map(backend_endpoint).collect();
         entries.push(endpoint(ORIGIN_ID, Tier::Origin, EndpointState::Active, 1.0));
         let event = Event::EndpointsChanged { full: true, entries };
-        self.router.handle(micros_from_ms(now), &event, &mut self.actions);
+        self.handle(now, &event);
         self.actions.clear();
     }
 
@@ -138,9 +140,18 @@
         self.router.ejected_caches(micros_from_ms(now))
     }
 
+    /// Passes an event to the policy. If its decision panics, only the event's call fails.
+    fn handle(&mut self, now: f64, event: &Event) {
+        let handled = self.router.handle_contained(micros_from_ms(now), event, &mut self.actions);
+        if handled.is_err() {
+            self.counters.panics += 1;
+            tracing::error!(pool = self.name, call = event.request_id(), "a decision panicked");
+        }
+    }
+
     /// Passes an event to the policy and returns its decision about the call `id`, if any.
     pub fn decide(&mut self, now: f64, id: u64, event: &Event) -> Option<Decision> {
-        self.router.handle(micros_from_ms(now), event, &mut self.actions);
+        self.handle(now, event);
         let mut decisions = self.actions.drain(..).filter_map(|action| decision_for(id, action));
         decisions.next_back()
     }
@@ -176,3 +187,6 @@
 fn endpoint(id: EndpointId, tier: Tier, state: EndpointState, weight: f64) -> Endpoint {
     Endpoint { id, tier, state, started_at: 0, weight, zone: 0, cell: 0 }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -269,6 +269,8 @@
     MaxAttempts,
     /// It may have run, and a repeat could take effect twice.
     NotRepeatable,
+    /// Its handling panicked, a fault of the program.
+    InternalError,
 }
 
 impl EndReason {
@@ -285,6 +287,7 @@
             Self::RetryBudgetExhausted => "retry_budget_exhausted",
             Self::MaxAttempts => "max_attempts",
             Self::NotRepeatable => "not_repeatable",
+            Self::InternalError => "internal_error",
         }
     }
 }
@@ -376,6 +379,24 @@
     },
 }
 
+impl Event {
+    /// The request that the event is about, if it is about one.
+    pub fn request_id(&self) -> Option<RequestId> {
+        match *self {
+            Self::Request { id, .. }
+            | Self::AttemptEnded { id, .. }
+            | Self::ResponseStarted { id, .. }
+            | Self::ClientDisconnected { id } => Some(id),
+            Self::EndpointsChanged { .. }
+            | Self::WatchLost
+            | Self::DeadlinesLimited { .. }
+            | Self::Timer { .. }
+            | Self::Purged { .. }
+            | Self::HealthChecked { .. } => None,
+        }
+    }
+}
+
 /// An instruction to the host.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -444,3 +465,16 @@
     /// Watch the list of endpoints.
     Watch,
 }
+
+impl Action {
+    /// The request that the action is about, if it is about one.
+    pub fn request_id(&self) -> Option<RequestId> {
+        match *self {
+            Self::Forward { id, .. }
+            | Self::Reject { id, .. }
+            | Self::Fail { id, .. }
+            | Self::Cancel { id, .. } => Some(id),
+            Self::CheckHealth { .. } | Self::SetTimer { .. } | Self::Watch => None,
+        }
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,10 +8,11 @@
 //! - `latency`: timeouts of classes; `load`: load and capacity of caches; `attribution`: updates class
 //!   latency, cache capacity, the origin fetch share and endpoint health from the outcomes of attempts;
 //! - `load_shedding`: which requests are admitted; `freshness`: purges and the maximum age of copies;
-//! - `shutdown`: the limit on deadlines while the process stops.
+//! - `shutdown`: the limit on deadlines while the process stops; `containment`: panics of a decision.
 
 mod attempts;
 mod attribution;
+mod containment;
 mod endpoints;
 mod freshness;
 mod health_checks;
