Fronts: answer a request whose handling panics with an error

Callers saw: a connection that closes, or a stream that is reset, without a response, and requests read behind that one lost (HTTP/1.1). HTTP/3: a panic of the response store left its clients waiting.

Cause: the task of the client's connection, stream or call ended with the panic.

Change: HTTP/1.1 and HTTP/3 answer 500, gRPC INTERNAL, and the connection goes on. HTTP/3's registry takes the waiting clients before it stores the response. Drops that report a client as gone contain their own panics.

Tests (real connections): tests/panics.rs, tests/http3.rs, tests/grpc.rs; all three failed on (end of stream, no response, reset).

--- a/src/grpc/call_driver.rs
+++ b/src/grpc/call_driver.rs
@@ -12,12 +12,15 @@
 use super::routes::MethodKind;
 use super::status::{Code, Pushback};
 use super::timeout;
+use crate::panics::contain;
 use crate::state::request_memory::{head_bytes, RequestReservation};
 use bytes::Bytes;
+use futures_util::FutureExt;
 use h2::server::SendResponse;
 use h2::RecvStream;
 use http::{request, HeaderMap, Method, Request, Response, StatusCode};
 use std::net::IpAddr;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 
 /// Forwards one call and sends its status.
@@ -32,16 +35,32 @@
         reject_non_grpc_request(&head.method, &mut respond);
         return front.count_not_grpc();
     }
-    let received_ms = front.now();
     let mut response = ResponseStream::NotStarted(respond);
-    let new_call = match parse_head(&front, &head, received_ms) {
+    let answered = AssertUnwindSafe(answer_call(&front, &head, body, client, &mut response));
+    if answered.catch_unwind().await.is_err() {
+        front.executor.count_panic("gRPC call");
+        let status = LocalStatus::failed(Code::INTERNAL, "the proxy failed to handle the call");
+        response.end(status_trailers(&status));
+    }
+}
+
+/// Forwards one gRPC call and sends its status on `response`.
+async fn answer_call(
+    front: &Rc<GrpcFront>,
+    head: &request::Parts,
+    body: RecvStream,
+    client: IpAddr,
+    response: &mut ResponseStream,
+) {
+    let received_ms = front.now();
+    let new_call = match parse_head(front, head, received_ms) {
         Ok(new_call) => new_call,
         Err(status) => {
             front.count_unrouted();
             return response.end(status_trailers(&status));
         }
     };
-    let permit = match admit(&front, &head, &new_call, client, &mut response).await {
+    let permit = match admit(front, head, &new_call, client, response).await {
         AdmissionOutcome::Admitted(permit) => permit,
         AdmissionOutcome::ClientDisconnected => return,
         AdmissionOutcome::Rejected { retry_after_ms } => {
@@ -52,9 +71,8 @@
     };
     front.sync_backends();
     let mut request = RequestStream::new(body, front.limits().message_bytes);
-    let mut streams =
-        ClientStreams { head: &head, request: &mut request, response: &mut response, received_ms };
-    run_attempts(&front, new_call, &mut streams, permit).await;
+    let mut streams = ClientStreams { head, request: &mut request, response, received_ms };
+    run_attempts(front, new_call, &mut streams, permit).await;
 }
 
 /// Reserves the memory of a request's head; `None` if there is not enough.
@@ -205,7 +223,8 @@
 impl Drop for CallTableGuard<'_> {
     fn drop(&mut self) {
         if !self.ended {
-            self.front.with_calls(|calls| calls.client_disconnected(self.front.now(), self.id));
+            let now = self.front.now();
+            let _ = contain(|| self.front.with_calls(|calls| calls.client_disconnected(now, self.id)));
         }
     }
 }
--- a/src/http3/call_registry.rs
+++ b/src/http3/call_registry.rs
@@ -4,6 +4,7 @@
 use super::response_store::{AttachOutcome, CallKey, ResponseStore, StoreLimits, StoreMetrics};
 use crate::clock::duration_from_ms;
 use crate::engine::executor::Executor;
+use crate::panics::contain;
 use crate::state::requests::{FinalResponse, IncomingRequest, SubmitError};
 use crate::wire::front::SessionId;
 use crate::wire::submission::{DisconnectGuard, PendingResponse, Submission};
@@ -133,8 +134,9 @@
 
     fn complete(&self, key: CallKey, response: &FinalResponse) {
         let now = self.executor.clock.now();
-        self.store.borrow_mut().complete(now, key, response);
+        // Taken first: if the store panics, the clients learn that there is no response.
         let senders = self.waiting_clients.borrow_mut().remove(&key).unwrap_or_default();
+        self.store.borrow_mut().complete(now, key, response);
         for sender in senders {
             // Sending fails if the client has disconnected; it gets the stored response on a retry.
             let _ = sender.send(response.clone());
@@ -222,7 +224,7 @@
     fn drop(&mut self) {
         if self.is_attached {
             let now = self.registry.executor.clock.now();
-            self.registry.store.borrow_mut().detach(now, self.key);
+            let _ = contain(|| self.registry.store.borrow_mut().detach(now, self.key));
             self.registry.due_changed.notify_one();
         }
     }
--- a/src/http3/request.rs
+++ b/src/http3/request.rs
@@ -9,10 +9,12 @@
 use crate::wire::front::{Disposition, Front};
 use crate::wire::http::{HttpRequest, HttpResponse};
 use bytes::{Buf, Bytes, BytesMut};
+use futures_util::FutureExt;
 use h3::server::RequestStream;
 use h3_quinn::BidiStream;
 use http::request::Parts;
 use http::{Method, Request, Response};
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use thiserror::Error;
 use tokio::sync::Notify;
@@ -71,7 +73,7 @@
     server.update_metrics(|metrics| metrics.requests += 1);
     let is_head = request.method() == Method::HEAD;
     let prioritized = match read(connection, request, &mut stream).await {
-        Ok(request) => match dispatch(connection, &request).await {
+        Ok(request) => match dispatch_contained(connection, &request).await {
             Some(prioritized) => prioritized,
             None => return,
         },
@@ -181,6 +183,15 @@
     }
 }
 
+/// Like [`dispatch`], but answers with an error if the handling of the request panics.
+async fn dispatch_contained(connection: &Connection, request: &HttpRequest) -> Option<PrioritizedResponse> {
+    let response = AssertUnwindSafe(dispatch(connection, request)).catch_unwind().await;
+    response.unwrap_or_else(|_| {
+        connection.server.executor.count_panic("HTTP/3 request");
+        Some(PrioritizedResponse::immediate(HttpResponse::status(500)))
+    })
+}
+
 /// Passes a request to the front and the engine. Returns `None` if the connection ended before the response.
 async fn dispatch(connection: &Connection, request: &HttpRequest) -> Option<PrioritizedResponse> {
     let server = &connection.server;
--- a/src/wire/client_connection.rs
+++ b/src/wire/client_connection.rs
@@ -11,7 +11,9 @@
 use crate::clock::duration_from_ms;
 use crate::engine::executor::Executor;
 use crate::state::requests::{FinalResponse, IncomingRequest};
+use futures_util::FutureExt;
 use std::net::IpAddr;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -123,7 +125,8 @@
                 Err(end) => return end,
             };
             self.slot.set_busy();
-            let Some(TimedResponse { mut response, write_ms }) = self.respond(&request).await else {
+            let Some(TimedResponse { mut response, write_ms }) = self.respond_contained(&request).await
+            else {
                 return ConnectionEnd::Disconnected;
             };
             // A request that was read behind this one is still answered.
@@ -233,6 +236,16 @@
         }
     }
 
+    /// The response to a request, an error if its handling panics; `None` where the client has disconnected.
+    async fn respond_contained(&mut self, request: &HttpRequest) -> Option<TimedResponse> {
+        let response = AssertUnwindSafe(self.respond(request)).catch_unwind().await;
+        response.unwrap_or_else(|_| {
+            self.executor.count_panic("client request");
+            let write_ms = self.front.limits().write_ms;
+            Some(TimedResponse { response: HttpResponse::status(500), write_ms })
+        })
+    }
+
     /// The response to a request; `None` where the client has disconnected.
     async fn respond(&mut self, request: &HttpRequest) -> Option<TimedResponse> {
         let (executor, front) = (self.executor.clone(), self.front.clone());
--- a/src/wire/submission.rs
+++ b/src/wire/submission.rs
@@ -1,6 +1,7 @@
 //! The submission of a request, with an immediate or a pending result.
 
 use crate::engine::executor::Executor;
+use crate::panics::contain;
 use crate::state::requests::{FinalResponse, IncomingRequest, SubmitError};
 use crate::RequestId;
 use std::rc::Rc;
@@ -77,7 +78,7 @@
 impl Drop for EngineDisconnectGuard {
     fn drop(&mut self) {
         if let Some(id) = self.id {
-            self.executor.client_disconnected(id);
+            let _ = contain(|| self.executor.client_disconnected(id));
         }
     }
 }
--- a/tests/grpc.rs
+++ b/tests/grpc.rs
@@ -5,6 +5,7 @@
 
 use edge_proxy::clock::Clock;
 use edge_proxy::engine::executor::Executor;
+use edge_proxy::grpc::call_table::{CallTable, CallTableLimits};
 use edge_proxy::grpc::config::GrpcConfig;
 use edge_proxy::grpc::front::GrpcFront;
 use edge_proxy::grpc::server::{abort_calls_at_shutdown, accept, run_housekeeping};
@@ -125,6 +126,23 @@
     }
 }
 
+/// Guards against a call that is reset without a status because its handling panicked.
+#[test]
+fn a_panic_in_the_handling_of_a_call_ends_it_with_the_status_internal() {
+    run(async {
+        let proxy = TestProxy::start("grpc_panic", 1, "{}").await;
+        let client = GrpcClient::connect(proxy.address).await;
+        // A table without the pools to which the routes point.
+        let limits = CallTableLimits { open_calls: 8, replay_bytes: 0 };
+        let intact =
+            proxy.front.with_calls(|calls| std::mem::replace(calls, CallTable::new(Vec::new(), limits, 1)));
+        assert_eq!(client.call("/t.Safe/Get", &[], message(1)).await.status(), 13);
+        assert_eq!(proxy.front.executor.with(|engine| engine.counters.panics), 1);
+        proxy.front.with_calls(|calls| *calls = intact);
+        assert_eq!(client.call("/t.Safe/Get", &[], message(1)).await.status(), 0);
+    });
+}
+
 #[test]
 fn unary_and_streaming_calls_keep_messages_metadata_and_trailers() {
     run(async {
--- a/tests/http3.rs
+++ b/tests/http3.rs
@@ -13,8 +13,10 @@
 use edge_proxy::lifecycle::engine_setup::engine;
 use edge_proxy::state::request_memory::RequestMemory;
 use edge_proxy::wire::cache_connection::CacheDriver;
+use edge_proxy::wire::classification::{Classification, RequestClassifier};
 use edge_proxy::wire::closable_listener::ClosableListener;
 use edge_proxy::wire::front::{ConnectionLimits, Front};
+use edge_proxy::wire::http::HttpRequest;
 use edge_proxy::wire::listener::accept;
 use edge_proxy::wire::platform::{self, Platform};
 use edge_proxy::wire::shutdown::GracefulShutdown;
@@ -35,6 +37,7 @@
 struct Fixture {
     executor: Rc<Executor>,
     fleet: SlowCacheFleet,
+    platform: Rc<Platform>,
     config: Http3Config,
     quic_address: SocketAddr,
     tcp_address: SocketAddr,
@@ -77,7 +80,8 @@
         let endpoint = quinn::Endpoint::server(quic, format!("127.0.{subnet}.9:0").parse().unwrap()).unwrap();
         let quic_address = endpoint.local_addr().unwrap();
         let calls = CallRegistry::new(executor.clone(), config.resumable_calls.store_limits());
-        let inner: Rc<dyn Front> = Rc::new(Platform::new(platform::limits(64)));
+        let platform = Rc::new(Platform::new(platform::limits(64)));
+        let inner: Rc<dyn Front> = platform.clone();
         let limits = ConnectionLimits { idle_ms: 5_000.0, ..platform::limits(64) };
         let front = Rc::new(Http3Front::new(inner, limits, config.session_tokens().unwrap(), calls.clone()));
         let server = Http3Server::new(executor.clone(), front.clone(), calls.clone(), config.limits.clone());
@@ -88,7 +92,7 @@
         let tcp_address = listener.local_addr().unwrap();
         let listener = ClosableListener::new(listener, Rc::new(Notify::new()));
         spawn_local(accept(executor.clone(), front, listener, stop.clone()));
-        Self { executor, fleet, config, quic_address, tcp_address, server, calls, stop, closing }
+        Self { executor, fleet, platform, config, quic_address, tcp_address, server, calls, stop, closing }
     }
 
     fn server_memory(&self) -> Rc<RequestMemory> {
@@ -124,6 +128,29 @@
 const LARGE_HEADERS: [(&str, &str); 2] = [("x-call-id", "00000000000000c1"), ("x-patience-ms", "4000")];
 const LARGE_PATH: &str = "/ops/video-part/7f3a9c21e0b4d655/slice-3";
 
+/// A classifier that panics.
+struct FaultyClassifier;
+
+impl RequestClassifier for FaultyClassifier {
+    fn classify(&self, _: &HttpRequest) -> Classification {
+        panic!("intentional panic")
+    }
+}
+
+/// Guards against a stream that ends without a response because the handling of its request panicked.
+#[test]
+fn a_panic_in_the_handling_of_a_request_answers_it_with_an_error() {
+    run(async {
+        let fixture = Fixture::start(148, "http3-panic", "").await;
+        let client = fixture.client().await;
+        fixture.platform.set_classifier(Some(Rc::new(FaultyClassifier)));
+        assert_eq!(client.get_small_object(1, 1_500).await.unwrap().status, 500);
+        assert_eq!(fixture.executor.with(|engine| engine.counters.panics), 1);
+        fixture.platform.set_classifier(None);
+        assert_eq!(client.get_small_object(2, 1_500).await.unwrap().status, 200);
+    });
+}
+
 #[test]
 fn valid_requests_are_served_with_sessions_and_ranges_and_invalid_ones_are_rejected() {
     run(async {
--- a/tests/panics.rs
+++ b/tests/panics.rs
@@ -5,7 +5,9 @@
 
 use edge_proxy::cache_message::CacheReply;
 use edge_proxy::engine::purge_filter::{PurgeFilter, RequestedCopy};
+use edge_proxy::wire::classification::{Classification, RequestClassifier, Target};
 use edge_proxy::wire::front::Front;
+use edge_proxy::wire::http::HttpRequest;
 use edge_proxy::wire::platform::{limits, Platform};
 use stand_ins::*;
 use std::cell::RefCell;
@@ -104,3 +106,29 @@
 fn a_panic_before_a_write_fails_its_request_alone() {
     run(panic_beside_an_open_request("panic_before_write", Fault::BeforeTheWrite));
 }
+
+/// Classifies by the platform's path, and panics for [`FAULTY_PART`].
+struct FaultyClassifier;
+
+impl RequestClassifier for FaultyClassifier {
+    fn classify(&self, request: &HttpRequest) -> Classification {
+        let part = request.target.rsplit('-').next().and_then(|part| part.parse().ok()).unwrap_or(0);
+        assert_ne!(part, FAULTY_PART, "intentional panic");
+        Classification::Target(Target { class: "clip".into(), object: 42, part, group: 17 })
+    }
+}
+
+/// Guards against a client's connection that closes without a response, and loses the requests read behind it.
+#[test]
+fn a_panic_while_a_request_is_read_answers_it_with_an_error_and_serves_the_next_one() {
+    run(async {
+        let (proxy, platform, address) = start_proxy("panic_at_request").await;
+        platform.set_classifier(Some(Rc::new(FaultyClassifier)));
+        let mut client = Client::connect(address).await;
+        let request = |id, part| format!("GET {} HTTP/1.1\r\nHost: o\r\n{}\r\n", target(part), headers(id));
+        client.write((request(1, FAULTY_PART) + &request(2, 5)).as_bytes()).await;
+        assert_eq!(client.read(false).await.expect("a response").status, 500);
+        assert_eq!(client.read(false).await.expect("a response").status, 200);
+        assert_eq!(panics(&proxy), 1);
+    });
+}
