Admission control: shed a queued request before its deadline, not at the next event

Callers saw: with little other traffic, a queued request that can't be served in time got its 503 up to a second after its client had stopped waiting.

Cause: Executor::submit woke the timers for a request that it passed to the engine, not for one that was queued; they slept until the next event or the housekeeping of each second.

Change: queueing wakes them. Test: a client that waits 300 ms; shed 590 ms after its deadline before, in time now.

--- a/src/engine/executor.rs
+++ b/src/engine/executor.rs
@@ -233,6 +233,8 @@
             }
             Ok(None) => {
                 self.responders.borrow_mut().insert(id, sender);
+                // It may be the first one to expire in the queue.
+                self.timers_changed.notify_one();
                 Ok(receiver)
             }
             Ok(Some(request)) => {
--- a/src/engine/executor/tests.rs
+++ b/src/engine/executor/tests.rs
@@ -48,8 +48,7 @@
 }
 
 /// Starts an executor with one endpoint of each tier, which admits one request at a time.
-fn start(driver: impl ConnectionDriver + 'static) -> Rc<Executor> {
-    let clock = Clock::manual(1_000_000.0);
+fn start(clock: Clock, driver: impl ConnectionDriver + 'static) -> Rc<Executor> {
     let connections =
         ConnectionLimits { total: 8, per_endpoint: 4, spread_above: 4, streams_per_connection: 4 };
     let limits = EngineLimits { requests: 9, connections };
@@ -76,6 +75,10 @@
     executor
 }
 
+fn manual_clock() -> Clock {
+    Clock::manual(1_000_000.0)
+}
+
 fn request(executor: &Executor, id: RequestId, patience_ms: f64) -> IncomingRequest {
     IncomingRequest {
         id,
@@ -100,7 +103,7 @@
 fn a_panic_of_admission_control_takes_no_response_with_it() {
     run(async {
         let permits = Rc::new(tokio::sync::Semaphore::new(0));
-        let executor = start(OneAtATime { permits: permits.clone() });
+        let executor = start(manual_clock(), OneAtATime { permits: permits.clone() });
         let responses = [1, 2, 3].map(|id| executor.submit(request(&executor, id, 5_000.0)));
         executor.with_admission(AdmissionControl::corrupt);
         permits.add_permits(3);
@@ -137,7 +140,7 @@
 fn a_panic_of_a_connection_and_one_of_admission_control_lose_no_response() {
     run(async {
         let inner = OneAtATime { permits: Rc::new(tokio::sync::Semaphore::new(8)) };
-        let executor = start(PanicsOnce { inner, has_panicked: Rc::default() });
+        let executor = start(manual_clock(), PanicsOnce { inner, has_panicked: Rc::default() });
         let write = IncomingRequest { class: 1, ..request(&executor, 1, 5_000.0) };
         let failed = executor.submit(write).expect("the request is accepted");
         let queued = executor.submit(request(&executor, 2, 5_000.0)).expect("the request is queued");
@@ -147,3 +150,23 @@
         assert_eq!(executor.with(|engine| engine.counters.panics), 1);
     });
 }
+
+/// Guards against a queued request that is shed after its client has stopped waiting, because the timers wait for
+/// something later.
+#[test]
+fn a_queued_request_that_cannot_be_served_is_shed_before_its_deadline() {
+    run(async {
+        let silent = OneAtATime { permits: Rc::new(tokio::sync::Semaphore::new(0)) };
+        let executor = start(Clock::system(), silent);
+        tokio::task::spawn_local(executor.clone().run_timers());
+        let _running = executor.submit(request(&executor, 1, 5_000.0)).expect("the request is accepted");
+        // The timers now wait for the first time-out of the running request.
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let queued = request(&executor, 2, 300.0);
+        let deadline_ms = queued.deadline_ms;
+        let response = executor.submit(queued).expect("the request is queued").await;
+        assert!(matches!(response, Ok(FinalResponse::Rejected { .. })), "{response:?}");
+        let late_ms = executor.clock.now() - deadline_ms;
+        assert!(late_ms < 0.0, "shed {late_ms} ms after its deadline");
+    });
+}
