Reservations: remove every expired one, also behind one that is valid for longer

Callers saw: with many shed clients, one whose retry-after time had not come yet lost its place, while expired reservations kept theirs: its retry was queued or shed like any other.

Cause: ReservationTable::expire went from the oldest on and stopped at the first valid entry. A reservation of ten seconds held up all shorter ones behind it; at its bound the table then dropped the oldest, a valid one.

Change: an index by expiry.

Tests: the order above (0 in place of 1 removed before), and the index against the map over 200 steps.

--- a/src/admission/bounds.rs
+++ b/src/admission/bounds.rs
@@ -54,7 +54,7 @@
             + table_bytes(max_in_flight, size_of::<(RequestId, InFlight)>())
             + table_bytes(max_in_flight, size_of::<(ClientKey, u32)>())
             + table_bytes(self.max_reservations, ReservationTable::KEY_BYTES)
-            + self.max_reservations * ReservationTable::NODE_BYTES
+            + self.max_reservations * (ReservationTable::NODE_BYTES + ReservationTable::EXPIRY_BYTES)
             + deque_bytes((self.max_retry_after_ms / SLOT_MS) as usize + 2, size_of::<u32>())
     }
 }
--- a/src/admission/reservations.rs
+++ b/src/admission/reservations.rs
@@ -2,11 +2,11 @@
 //!
 //! Time is divided into slots of [`SLOT_MS`], and only a share of the requests that can be served in a slot
 //! may be reserved, so that reservations cannot starve the queues. Reservations are stored in an LRU map of
-//! bounded size, which evicts the oldest.
+//! bounded size, which evicts the oldest once all are valid.
 
 use super::decision::ClientKey;
 use lru::LruCache;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::mem::size_of;
 use std::num::NonZeroUsize;
 
@@ -32,12 +32,20 @@
     pub fn is_usable(&self, now_ms: f64) -> bool {
         now_ms >= self.from_ms - EARLY_USE_TOLERANCE_MS && now_ms <= self.until_ms
     }
+
+    /// Its entry in [`ReservationTable::by_expiry`].
+    fn expiry_entry(&self, client: ClientKey) -> (u64, ClientKey) {
+        (self.until_ms.max(0.0).to_bits(), client)
+    }
 }
 
 /// The reservations by client, and their number by slot.
 #[derive(Debug)]
 pub struct ReservationTable {
     by_client: LruCache<ClientKey, Reservation>,
+    /// The clients by the expiry of their reservations. Times are the bits of an `f64`, which have the same
+    /// order as the values because none is negative.
+    by_expiry: BTreeSet<(u64, ClientKey)>,
     /// The number of reservations in each slot.
     slot_counts: VecDeque<u32>,
     /// The start of the first slot, Unix milliseconds.
@@ -64,11 +72,18 @@
     pub const KEY_BYTES: usize = size_of::<(ClientKey, usize)>();
     /// Bytes of a node of the LRU map: key, value and two links.
     pub const NODE_BYTES: usize = size_of::<(ClientKey, Reservation)>() + 2 * size_of::<usize>();
+    /// The maximum size of an entry by expiry, with its share of the B-tree's nodes.
+    pub const EXPIRY_BYTES: usize = 2 * size_of::<(u64, ClientKey)>();
 
     /// Creates an empty table for at most `max` reservations. A `max` of 0 counts as 1.
     pub fn new(max: usize) -> Self {
         let capacity = NonZeroUsize::new(max).unwrap_or(NonZeroUsize::MIN);
-        Self { by_client: LruCache::new(capacity), slot_counts: VecDeque::new(), first_slot_ms: 0.0 }
+        Self {
+            by_client: LruCache::new(capacity),
+            by_expiry: BTreeSet::new(),
+            slot_counts: VecDeque::new(),
+            first_slot_ms: 0.0,
+        }
     }
 
     /// The number of reservations.
@@ -88,15 +103,20 @@
 
     /// Removes the reservation of `client`.
     pub fn remove(&mut self, client: ClientKey) {
-        self.by_client.pop(&client);
+        if let Some(reservation) = self.by_client.pop(&client) {
+            self.by_expiry.remove(&reservation.expiry_entry(client));
+        }
     }
 
-    /// Removes expired reservations, oldest first, until one is not expired; later ones are not examined.
-    /// Returns the number removed.
+    /// Removes all expired reservations. Returns the number removed.
     pub fn expire(&mut self, now_ms: f64) -> u64 {
         let mut expired = 0;
-        while self.by_client.peek_lru().is_some_and(|(_, reservation)| reservation.until_ms < now_ms) {
-            self.by_client.pop_lru();
+        while let Some(&(until_bits, client)) = self.by_expiry.first() {
+            if f64::from_bits(until_bits) >= now_ms {
+                break;
+            }
+            self.by_expiry.pop_first();
+            self.by_client.pop(&client);
             expired += 1;
         }
         expired
@@ -117,10 +137,18 @@
         let slot_from_ms = self.first_slot_ms + slot as f64 * SLOT_MS;
         let wait_ms = (slot_from_ms - now_ms).clamp(request.min_retry_after_ms, request.max_retry_after_ms);
         let until_ms = now_ms + wait_ms + (wait_ms / 2.0).max(MIN_VALIDITY_MS);
-        self.by_client.put(request.client, Reservation { from_ms: now_ms + wait_ms, until_ms });
+        self.insert(request.client, Reservation { from_ms: now_ms + wait_ms, until_ms });
         Some(wait_ms)
     }
 
+    /// Stores a reservation in place of the client's earlier one, or of the oldest if the table is full.
+    fn insert(&mut self, client: ClientKey, reservation: Reservation) {
+        if let Some((replaced_client, replaced)) = self.by_client.push(client, reservation) {
+            self.by_expiry.remove(&replaced.expiry_entry(replaced_client));
+        }
+        self.by_expiry.insert(reservation.expiry_entry(client));
+    }
+
     fn reserved_in_slot(&self, slot: usize) -> u32 {
         self.slot_counts.get(slot).copied().unwrap_or(0)
     }
@@ -141,7 +169,7 @@
 
     /// An estimate of the heap memory in use, in bytes.
     pub fn heap_bytes(&self) -> usize {
-        self.by_client.len() * (Self::NODE_BYTES + Self::KEY_BYTES + 1)
+        self.by_client.len() * (Self::NODE_BYTES + Self::KEY_BYTES + 1 + Self::EXPIRY_BYTES)
             + self.slot_counts.capacity() * size_of::<u32>()
     }
 }
@@ -149,3 +177,6 @@
 fn slot_start(now_ms: f64) -> f64 {
     (now_ms / SLOT_MS).floor() * SLOT_MS
 }
+
+#[cfg(test)]
+mod tests;
