--- a/src/bin/simulator-adapter/input.rs
+++ b/src/bin/simulator-adapter/input.rs
@@ -262,13 +262,13 @@
     pub fn into_event(self, settings: &PlatformSettings) -> Result<Option<Event>, MessageError> {
         Ok(Some(match self {
             Self::Request { id, class, object, deadline_at, size_kb, group, part, .. } => {
-                let Some(class) = settings.class_index(&class) else {
+                let Some(class) = settings.class(&class) else {
                     return Err(MessageError::UnknownClass(class));
                 };
                 let (group, part) = (group as u32, part as u32);
                 Event::Request {
                     id: id.0,
-                    class,
+                    class: class.policy().clone(),
                     object,
                     group,
                     part,
--- a/src/engine/attempts.rs
+++ b/src/engine/attempts.rs
@@ -4,7 +4,6 @@
 use super::{Effect, Engine};
 use crate::cache_message::CacheRequest;
 use crate::clock::{micros_from_ms, ms_from_micros};
-use crate::settings::PlatformSettings;
 use crate::state::attempts::{Attempt, Stage};
 use crate::state::connections::Placement;
 use crate::state::ids::{AttemptId, ConnectionId};
@@ -113,8 +112,8 @@
         if !is_usable(attempt.to) || !attempt.source.is_none_or(is_usable) || !in_time {
             return None;
         }
-        let class = self.settings.class_name(request.class)?;
-        let copy = Self::requested_copy(&self.settings, request);
+        let class = request.class.name();
+        let copy = Self::requested_copy(request);
         let mut max_age_ms = remaining_age_ms(now, attempt);
         let mut group = None;
         if let (Some(filter), Some(copy)) = (&self.purge_filter, copy) {
@@ -122,7 +121,7 @@
             group = Some(request.group);
         }
         let connection = self.connections.get_mut(attempt.conn)?;
-        if !self.settings.is_idempotent(request.class) {
+        if !request.class.is_idempotent() {
             self.recent_writes.record(now, id.request);
         }
         connection.last_active_ms = now;
@@ -158,14 +157,11 @@
     }
 
     /// The cached copy that a request asks for; `None` for a write.
-    pub(super) fn requested_copy<'a>(
-        settings: &'a PlatformSettings,
-        request: &IncomingRequest,
-    ) -> Option<RequestedCopy<'a>> {
-        if settings.is_write(request.class) {
+    pub(super) fn requested_copy(request: &IncomingRequest) -> Option<RequestedCopy<'_>> {
+        if request.class.is_write() {
             return None;
         }
-        let class = settings.class_name(request.class)?;
+        let class = request.class.name();
         Some(RequestedCopy { class, object: request.object, part: request.part, group: request.group })
     }
 
--- a/src/engine/executor.rs
+++ b/src/engine/executor.rs
@@ -215,7 +215,7 @@
     ) -> Result<oneshot::Receiver<FinalResponse>, SubmitError> {
         let id = request.id;
         if self.responders.borrow().contains_key(&id) {
-            self.engine.borrow_mut().count_duplicate(request.class);
+            self.engine.borrow_mut().count_duplicate(&request.class);
             return Err(SubmitError::Duplicate);
         }
         let (sender, receiver) = oneshot::channel();
--- a/src/engine/executor/tests.rs
+++ b/src/engine/executor/tests.rs
@@ -83,6 +83,7 @@
     IncomingRequest {
         id,
         id_text: format!("{id:016x}"),
+        class: executor.settings().class("clip").expect("a class").clone(),
         object: id,
         deadline_ms: executor.clock.now() + patience_ms,
         client: Some([10, 0, 0, id as u8].into()),
@@ -141,7 +142,8 @@
     run(async {
         let inner = OneAtATime { permits: Rc::new(tokio::sync::Semaphore::new(8)) };
         let executor = start(manual_clock(), PanicsOnce { inner, has_panicked: Rc::default() });
-        let write = IncomingRequest { class: 1, ..request(&executor, 1, 5_000.0) };
+        let class = executor.settings().class("post").expect("a class").clone();
+        let write = IncomingRequest { class, ..request(&executor, 1, 5_000.0) };
         let failed = executor.submit(write).expect("the request is accepted");
         let queued = executor.submit(request(&executor, 2, 5_000.0)).expect("the request is queued");
         executor.with_admission(AdmissionControl::corrupt);
--- a/src/engine/metrics.rs
+++ b/src/engine/metrics.rs
@@ -9,8 +9,8 @@
     /// The engine's metrics, as lines of `NAME NUMBER`.
     pub fn metrics(&mut self) -> String {
         // Lists every class, even before its first request.
-        for class in (0..).map_while(|index| self.settings.class_name(index)) {
-            self.class_counters.class_mut(class);
+        for class in self.settings.classes() {
+            self.class_counters.class_mut(class.name());
         }
         let listed = self.membership.all_listed().map(|endpoint| &endpoint.record);
         let caches = listed.filter(|record| self.settings.is_cache(record)).map(|record| record.id);
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -138,10 +138,9 @@
         self.settings.clone()
     }
 
-    /// Replaces the settings. Open requests keep their classes.
+    /// Replaces the settings. All requests that have arrived keep their classes.
     pub fn reconfigure(&mut self, settings: PlatformSettings) {
-        let in_use = |class| self.requests.uses_class(class);
-        self.settings = Rc::new(settings.with_class_indexes_of(&self.settings, in_use));
+        self.settings = Rc::new(settings.sharing_classes_with(&self.settings));
         self.router.reconfigure(self.settings.policy_settings());
         self.connections.set_stream_limit(self.settings.streams_per_connection());
         let listed = self.membership.all_listed().cloned().collect();
--- a/src/engine/replies.rs
+++ b/src/engine/replies.rs
@@ -77,7 +77,7 @@
     /// Whether the reply to a read carries a purged copy, which must not reach the client.
     fn is_purged(&mut self, id: RequestId, reply: &CacheReply) -> bool {
         let (Some(filter), Some(request)) = (&self.purge_filter, self.requests.get(id)) else { return false };
-        let Some(copy) = Self::requested_copy(&self.settings, request) else { return false };
+        let Some(copy) = Self::requested_copy(request) else { return false };
         let purge_seq = filter.borrow_mut().purge_of_reply(copy, reply);
         if let Some(seq) = purge_seq {
             tracing::debug!(id = request.id_text, seq, "discarding a reply with a purged copy");
@@ -97,7 +97,7 @@
     /// without a response of an endpoint.
     fn respond(&mut self, id: RequestId, response: FinalResponse, reason: Option<EndReason>) {
         let Some(request) = self.requests.remove(id) else { return };
-        let class = self.settings.class_name(request.class).unwrap_or_default();
+        let class = request.class.name();
         tracing::debug!(
             id = request.id_text,
             class,
--- a/src/engine/requests.rs
+++ b/src/engine/requests.rs
@@ -2,6 +2,7 @@
 
 use super::Engine;
 use crate::clock::micros_from_ms;
+use crate::settings::PlatformClass;
 use crate::state::counters::ClassCounters;
 use crate::state::requests::{IncomingRequest, SubmitError};
 use crate::{Event, Micros, RequestId};
@@ -15,10 +16,11 @@
     /// [`SubmitError`] if a request with its id is open or the request table is full.
     pub fn submit(&mut self, request: IncomingRequest) -> Result<(), SubmitError> {
         let request = self.with_limited_deadline(request);
-        let (class, deadline_ms, id_text) = (request.class, request.deadline_ms, request.id_text.clone());
+        let class = request.class.clone();
+        let (deadline_ms, id_text) = (request.deadline_ms, request.id_text.clone());
         let event = Event::Request {
             id: request.id,
-            class,
+            class: class.policy().clone(),
             object: request.object,
             group: request.group,
             part: request.part,
@@ -28,15 +30,15 @@
         };
         if let Err(error) = self.requests.insert(request) {
             match error {
-                SubmitError::Duplicate => self.count_duplicate(class),
-                SubmitError::Full => self.counters_of(class).rejected += 1,
+                SubmitError::Duplicate => self.count_duplicate(&class),
+                SubmitError::Full => self.counters_of(&class).rejected += 1,
             }
             return Err(error);
         }
         self.counters.requests += 1;
         tracing::debug!(
             id = id_text,
-            class = self.settings.class_name(class),
+            class = class.name(),
             time_left_ms = deadline_ms - self.clock.now(),
             "request accepted"
         );
@@ -48,25 +50,25 @@
     /// Whether a request with this id may have run recently and could take effect again. Fronts whose clients send
     /// each id once ask before they submit a request; counts a repeat as failed.
     pub fn is_repeat(&mut self, request: &IncomingRequest) -> bool {
-        if self.settings.is_idempotent(request.class) {
+        if request.class.is_idempotent() {
             return false;
         }
         let now = self.clock.now();
         let is_repeat = self.recent_writes.contains(now, request.id);
         if is_repeat {
-            self.count_duplicate(request.class);
+            self.count_duplicate(&request.class);
         }
         is_repeat
     }
 
     /// Counts a request that is not accepted because its id belongs to another request.
-    pub(super) fn count_duplicate(&mut self, class: usize) {
+    pub(super) fn count_duplicate(&mut self, class: &PlatformClass) {
         self.counters_of(class).failed += 1;
     }
 
     /// The counters of a class.
-    fn counters_of(&mut self, class: usize) -> &mut ClassCounters {
-        self.class_counters.class_mut(self.settings.class_name(class).unwrap_or_default())
+    fn counters_of(&mut self, class: &PlatformClass) -> &mut ClassCounters {
+        self.class_counters.class_mut(class.name())
     }
 
     /// Limits the deadlines of all open and future requests to a time in Unix milliseconds, because the process
@@ -87,8 +89,11 @@
     /// Logs a warning for each request without a final response.
     pub fn log_open_requests(&self) {
         for request in self.requests.iter() {
-            let class = self.settings.class_name(request.class);
-            tracing::warn!(id = request.id_text, class, "request ends without a response");
+            tracing::warn!(
+                id = request.id_text,
+                class = request.class.name(),
+                "request ends without a response"
+            );
         }
     }
 
--- a/src/grpc/call_driver.rs
+++ b/src/grpc/call_driver.rs
@@ -197,7 +197,7 @@
         return AdmissionOutcome::Admitted(None);
     }
     let numeric_header = |name: &str| head.headers.get(name)?.to_str().ok()?.parse().ok();
-    let tenant = front.tenant(new_call.route.class, numeric_header);
+    let tenant = front.tenant(&new_call.route, numeric_header);
     match front.admission.submit(&front.executor.clock, client, tenant, new_call.deadline_ms()) {
         AdmissionResult::Admitted(permit) => AdmissionOutcome::Admitted(Some(permit)),
         AdmissionResult::Rejected(retry_after_ms) => AdmissionOutcome::Rejected { retry_after_ms },
--- a/src/grpc/call_table.rs
+++ b/src/grpc/call_table.rs
@@ -128,7 +128,7 @@
         }
         let object =
             affinity_hash.unwrap_or_else(|| self.seed.wrapping_add(id).wrapping_mul(CALL_HASH_MULTIPLIER));
-        let (pool, class) = (route.pool, route.class);
+        let (pool, class) = (route.pool, route.class.clone());
         let call = Call {
             route,
             deadline_ms,
--- a/src/grpc/front.rs
+++ b/src/grpc/front.rs
@@ -7,7 +7,7 @@
 use super::limits::GrpcLimits;
 use super::metrics::Metrics;
 use super::route_compiler::RouteError;
-use super::routes::Routes;
+use super::routes::{Route, Routes};
 use super::upstream::{BackendAddress, Upstream};
 use crate::admission::control::AdmissionControl;
 use crate::engine::executor::{Backend, Executor};
@@ -184,11 +184,11 @@
     }
 
     /// A call's tenant for admission control: the number in the tenant header (0 if missing or invalid), or
-    /// the request class if no header is configured.
-    pub fn tenant(&self, class: usize, header: impl Fn(&str) -> Option<u32>) -> u32 {
+    /// that of its route if no header is configured.
+    pub fn tenant(&self, route: &Route, header: impl Fn(&str) -> Option<u32>) -> u32 {
         match &self.config.borrow().tenant_header {
             Some(name) => header(name).filter(|tenant| *tenant <= MAX_TENANT).unwrap_or(0),
-            None => class as u32,
+            None => route.tenant,
         }
     }
 
--- a/src/grpc/route_compiler.rs
+++ b/src/grpc/route_compiler.rs
@@ -8,6 +8,7 @@
 use crate::clock::micros_from_ms;
 use crate::{Idempotency, KeyScope, PolicySettings, RequestClass, SlowStart};
 use http::HeaderName;
+use std::rc::Rc;
 use thiserror::Error;
 
 /// Largest value of `deadline_ms`, and the deadline of the request class of a route without one, in
@@ -65,16 +66,18 @@
 /// Compiles the routes and the policy settings of the pools.
 pub fn compile(pools: &[PoolConfig], configs: &[RouteConfig]) -> Result<(Routes, Vec<PoolSpec>), RouteError> {
     let mut routes = Routes::default();
-    let mut classes: Vec<Vec<RequestClass>> = vec![Vec::new(); pools.len()];
+    let mut classes: Vec<Vec<Rc<RequestClass>>> = vec![Vec::new(); pools.len()];
     for config in configs {
         let fault = |fault| RouteError::Fault { method: config.method.clone(), fault };
         let pool = pools.iter().position(|pool| pool.name == config.pool);
         let pool = pool.ok_or_else(|| fault(RouteFault::UnknownPool(config.pool.clone())))?;
         let deadline_ms = checked_deadline_ms(config).map_err(fault)?;
         let (idempotency, key_header) = idempotency(config).map_err(fault)?;
+        let class = Rc::new(request_class(config, deadline_ms, idempotency));
         let route = Route {
             pool,
-            class: classes[pool].len(),
+            class: class.clone(),
+            tenant: classes[pool].len() as u32,
             kind: config.kind,
             idempotency,
             key_header,
@@ -82,7 +85,7 @@
             retry: retried_codes(config).map_err(fault)?,
             affinity: affinity(config).map_err(fault)?,
         };
-        classes[pool].push(request_class(config, deadline_ms, idempotency));
+        classes[pool].push(class);
         routes.add(&config.method, route)?;
     }
     let specs = pools.iter().zip(classes).map(|(pool, classes)| PoolSpec {
@@ -158,7 +161,7 @@
 
 /// The policy settings of a pool: this proxy may use the backends' whole capacity, there is no slow start,
 /// and nothing is cached.
-fn policy_settings(pool: &PoolConfig, classes: Vec<RequestClass>) -> PolicySettings {
+fn policy_settings(pool: &PoolConfig, classes: Vec<Rc<RequestClass>>) -> PolicySettings {
     let no_slow_start =
         SlowStart { initial_capacity: 1.0, ramp_duration: 0, overload_multiple: 1.0, overload_window: 0 };
     PolicySettings {
--- a/src/grpc/routes.rs
+++ b/src/grpc/routes.rs
@@ -1,10 +1,11 @@
 //! The routing table: maps methods to pools, deadlines and retry rules. No I/O.
 
 use super::status::Code;
-use crate::interface::Idempotency;
+use crate::interface::{Idempotency, RequestClass};
 use ahash::AHashMap;
 use sha2::{Digest, Sha256};
 use std::collections::hash_map::Entry;
+use std::rc::Rc;
 
 /// Whether a method is unary or streaming.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
@@ -34,8 +35,10 @@
 pub struct Route {
     /// Index of the pool.
     pub pool: usize,
-    /// Index of the request class in the pool's policy settings.
-    pub class: usize,
+    /// The request class, shared with the pool's policy settings. Calls keep it over a reload.
+    pub class: Rc<RequestClass>,
+    /// The tenant of its calls for admission control, if no header tells it: the route's number.
+    pub tenant: u32,
     /// Unary or streaming.
     pub kind: MethodKind,
     /// Whether attempts that may have been processed can be retried.
--- a/src/grpc/routes/tests.rs
+++ b/src/grpc/routes/tests.rs
@@ -1,9 +1,10 @@
 use super::*;
 
-fn route(class: usize) -> Route {
+fn route(tenant: u32) -> Route {
     Route {
         pool: 0,
-        class,
+        class: Rc::default(),
+        tenant,
         kind: MethodKind::Unary,
         idempotency: Idempotency::Idempotent,
         key_header: None,
@@ -16,22 +17,22 @@
 #[test]
 fn the_most_specific_route_is_found() {
     let mut routes = Routes::default();
-    for (class, pattern) in ["/ads.v1.Ads/Post", "/ads.v1.Ads/*", "*"].iter().enumerate() {
-        routes.add(pattern, route(class)).unwrap();
+    for (tenant, pattern) in (0..).zip(["/ads.v1.Ads/Post", "/ads.v1.Ads/*", "*"]) {
+        routes.add(pattern, route(tenant)).unwrap();
     }
-    fn class(routes: &Routes, path: &str) -> Option<usize> {
-        routes.find(path).map(|r| r.class)
+    fn tenant(routes: &Routes, path: &str) -> Option<u32> {
+        routes.find(path).map(|route| route.tenant)
     }
-    assert_eq!(class(&routes, "/ads.v1.Ads/Post"), Some(0));
-    assert_eq!(class(&routes, "/ads.v1.Ads/Get"), Some(1));
-    assert_eq!(class(&routes, "/ads.v1.Adsy/Get"), Some(2));
+    assert_eq!(tenant(&routes, "/ads.v1.Ads/Post"), Some(0));
+    assert_eq!(tenant(&routes, "/ads.v1.Ads/Get"), Some(1));
+    assert_eq!(tenant(&routes, "/ads.v1.Adsy/Get"), Some(2));
     for bad in ["", "/", "/a", "a/b", "/a/", "//b", "/a/b/c", "/a/b?x", "/a b/c", "/a/*"] {
-        assert_eq!(class(&routes, bad), None, "{bad:?}");
+        assert_eq!(tenant(&routes, bad), None, "{bad:?}");
     }
     for duplicate in ["*", "/ads.v1.Ads/*", "/ads.v1.Ads/Post"] {
         assert_eq!(routes.add(duplicate, route(9)), Err(PatternError::Duplicate(duplicate.into())));
     }
-    assert_eq!(class(&routes, "/ads.v1.Adsy/Get"), Some(2), "the first route stays");
+    assert_eq!(tenant(&routes, "/ads.v1.Adsy/Get"), Some(2), "the first route stays");
     for bad in ["", "/*", "a/*", "/a/b/*", "**", "/a/b*"] {
         assert_eq!(routes.add(bad, route(9)), Err(PatternError::Syntax(bad.into())), "{bad:?}");
     }
--- a/src/http3/call_registry.rs
+++ b/src/http3/call_registry.rs
@@ -82,7 +82,7 @@
         request: IncomingRequest,
     ) -> Result<SubmittedCall, SubmitError> {
         let (key, now) = (CallKey { session, call: request.id }, self.executor.clock.now());
-        let is_write = self.executor.settings().is_write(request.class);
+        let is_write = request.class.is_write();
         let digest = self.digest(&request);
         let outcome = self.store.borrow_mut().attach(now, key, digest, is_write);
         match outcome {
@@ -108,7 +108,7 @@
     /// Hash of the fields by which a retry is recognized as the same request.
     fn digest(&self, request: &IncomingRequest) -> u64 {
         self.hasher.hash_one((
-            request.class,
+            request.class.name(),
             request.object,
             request.part,
             request.group,
--- a/src/http3/request.rs
+++ b/src/http3/request.rs
@@ -200,7 +200,7 @@
         Disposition::Respond(response) => return Some(PrioritizedResponse::immediate(response)),
         Disposition::Forward(incoming, context) => (incoming, context),
     };
-    let default_priority = default_priority(connection, &incoming);
+    let default_priority = default_priority(&incoming);
     let requested = request.single_value("priority").ok().flatten();
     let priority = requested.map_or(default_priority, |text| Priority::parse(text, default_priority));
     incoming.client = Some(connection.peer);
@@ -240,9 +240,8 @@
 
 /// The priority of a response if the request has no `Priority` header: writes first, then whole objects, then
 /// parts of objects, which are incremental.
-fn default_priority(connection: &Connection, incoming: &IncomingRequest) -> Priority {
-    let is_write = connection.server.executor.settings().is_write(incoming.class);
-    match (is_write, incoming.part) {
+fn default_priority(incoming: &IncomingRequest) -> Priority {
+    match (incoming.class.is_write(), incoming.part) {
         (true, _) => Priority { urgency: 1, incremental: false },
         (false, 0) => Priority { urgency: 2, incremental: false },
         (false, _) => Priority { urgency: 5, incremental: true },
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -3,6 +3,8 @@
 //! These types do not depend on a protocol. A host translates its own messages to [`Event`]s, passes them
 //! with the current time, and carries out the [`Action`]s in order.
 
+use std::rc::Rc;
+
 /// A point in time or a duration, in microseconds. Points in time are monotonic and relative to an
 /// arbitrary fixed epoch.
 pub type Micros = u64;
@@ -14,7 +16,7 @@
 pub type ObjectId = u64;
 
 /// Whether a request may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Idempotency {
     /// It may be repeated.
     Idempotent,
@@ -22,22 +24,24 @@
     /// the key window.
     WithKey,
     /// It must take effect at most once.
+    #[default]
     NotIdempotent,
 }
 
 /// The endpoints that drop the repeats of a request with an idempotency key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum KeyScope {
     /// Every endpoint.
     All,
     /// The endpoints in the zone of the first endpoint that may have run it.
     Zone,
     /// The endpoints in the cell of the first endpoint that may have run it.
+    #[default]
     Cell,
 }
 
 /// A request class.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RequestClass {
     /// Time after which a response is late, before the latency stretch is added.
     pub latency_objective: Micros,
@@ -88,8 +92,8 @@
 /// The settings of a router.
 #[derive(Clone, Debug)]
 pub struct PolicySettings {
-    /// The request classes; requests refer to them by index.
-    pub classes: Vec<RequestClass>,
+    /// The request classes. Requests share them, and keep theirs when the settings change.
+    pub classes: Vec<Rc<RequestClass>>,
     /// Number of routers in the fleet.
     pub fleet_size: u32,
     /// Number of routers that serve this router's location.
@@ -249,8 +253,6 @@
 /// Why a request ended without a response of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EndReason {
-    /// Its class is not among the settings.
-    UnknownClass,
     /// Load was shed: its cache has too much load for a request of this value.
     LoadShed,
     /// The cache and its fill source have no copy.
@@ -277,7 +279,6 @@
     /// Its name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
-            Self::UnknownClass => "unknown_class",
             Self::LoadShed => "load_shed",
             Self::CacheMiss => "cache_miss",
             Self::NoEndpoint => "no_endpoint",
@@ -308,8 +309,8 @@
     Request {
         /// Its id, new to this router.
         id: RequestId,
-        /// Index of its class in the settings.
-        class: usize,
+        /// Its class: one of the settings, or of earlier settings under which it arrived.
+        class: Rc<RequestClass>,
         /// The object.
         object: ObjectId,
         /// The object's group.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,11 +22,11 @@
 //! # fn settings() -> PolicySettings {
 //! #     let cold = SlowStart { initial_capacity: 0.2, ramp_duration: 15_000_000, overload_multiple: 3.0, overload_window: 2_000_000 };
 //! #     PolicySettings {
-//! #         classes: vec![RequestClass {
+//! #         classes: vec![std::rc::Rc::new(RequestClass {
 //! #             latency_objective: 400_000, latency_stretch: 2.0, deadline: 2_500_000, idempotency: Idempotency::Idempotent,
 //! #             key_scope: KeyScope::All, key_window: 0, priority_weight: 1.0,
 //! #             fresh_lifetime: 0, stale_while_revalidate: 0, uncacheable: false,
-//! #         }],
+//! #         })],
 //! #         fleet_size: 1, local_fleet_size: 1, client_kb_per_s: 5_000.0, weights_are_capacities: true,
 //! #         can_join_fills: true, can_bypass_caches: true, reports_cache_status: false,
 //! #         purge_completion: 6_000_000, max_attempts: 6,
@@ -37,7 +37,9 @@
 //! # fn endpoint(id: u32, tier: Tier) -> Endpoint {
 //! #     Endpoint { id, tier, state: EndpointState::Active, started_at: 0, weight: 5.0, zone: 0, cell: 0 }
 //! # }
-//! let mut router = Router::new(settings(), 7);
+//! let settings = settings();
+//! let class = settings.classes[0].clone();
+//! let mut router = Router::new(settings, 7);
 //! let mut actions = Vec::new();
 //! let entries = vec![
 //!     endpoint(1, Tier::Cache), endpoint(2, Tier::Cache), endpoint(8, Tier::Parent), endpoint(9, Tier::Origin),
@@ -45,7 +47,7 @@
 //! router.handle(0, &Event::EndpointsChanged { full: true, entries }, &mut actions);
 //!
 //! let request = Event::Request {
-//!     id: 1, class: 0, object: 42, group: 0, part: 0, size_kb: 100.0, deadline_at: 2_500_000,
+//!     id: 1, class, object: 42, group: 0, part: 0, size_kb: 100.0, deadline_at: 2_500_000,
 //!     repeatable_until: Micros::MAX,
 //! };
 //! router.handle(1_000, &request, &mut actions);
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -48,9 +48,6 @@
         request: PendingRequest,
         actions: &mut Actions,
     ) {
-        if request.class >= self.settings.classes.len() {
-            return actions.push(Action::Fail { id, reason: EndReason::UnknownClass });
-        }
         if self.requests.contains_key(&id) {
             return;
         }
@@ -117,16 +114,16 @@
     /// add load for a response that is late anyway.
     fn is_too_late(&self, now: Micros, request: &PendingRequest) -> bool {
         let since_first = request.attempts.first().map_or(0, |attempt| now.saturating_sub(attempt.sent_at));
-        since_first as f64 > self.latency_objective(request) && self.is_congested(now, request.class)
+        since_first as f64 > self.latency_objective(request) && self.is_congested(now, &request.class)
     }
 
     /// The time after which a response to a request counts as late, in microseconds.
     pub(super) fn latency_objective(&self, request: &PendingRequest) -> f64 {
-        let class = &self.settings.classes[request.class];
+        let class = &request.class.settings;
         let transfer_time = if request.size_kb > 0.0 {
             self.settings.sending_time(request.size_kb)
         } else {
-            self.latency[request.class].transfer_time
+            request.class.latency.borrow().transfer_time
         };
         (class.latency_objective as f64 + class.latency_stretch * transfer_time).min(class.deadline as f64)
     }
@@ -134,7 +131,7 @@
     /// Sends a request's next attempt, or returns why none may be sent.
     fn send_attempt(&mut self, now: Micros, id: RequestId, actions: &mut Actions) -> Result<(), EndReason> {
         let request = self.requests.get(&id).ok_or(EndReason::NoEndpoint)?;
-        let mean_transfer_time = self.latency[request.class].transfer_time;
+        let mean_transfer_time = request.class.latency.borrow().transfer_time;
         let path = self.next_path(now, request, mean_transfer_time).ok_or(EndReason::NoEndpoint)?;
         if !self.may_repeat_at(now, request, path.to) {
             return Err(EndReason::NotRepeatable);
@@ -166,8 +163,8 @@
     fn attempt_timeout(&self, now: Micros, request: &PendingRequest) -> Timeout {
         let time_left = request.deadline_at.saturating_sub(now) as f64;
         let transfer_time = self.settings.sending_time(request.size_kb);
-        let usual = self.latency[request.class].timeout(transfer_time);
-        let congested = self.is_congested(now, request.class);
+        let usual = request.class.latency.borrow().timeout(transfer_time);
+        let congested = self.is_congested(now, &request.class);
         let min_factor = if congested { MIN_TIMEOUT_FACTOR_CONGESTED } else { MIN_TIMEOUT_FACTOR };
         let wanted = usual.max(min_factor * self.latency_objective(request));
         let max = if wanted < time_left { MAX_TIMEOUT_FRACTION * time_left } else { time_left };
@@ -183,9 +180,9 @@
         path: AttemptPath,
         timeout: Micros,
     ) -> Action {
-        let class = &self.settings.classes[request.class];
+        let class = &request.class.settings;
         // Retries and requests of congested classes accept a stale copy, as a fresh one would likely be late.
-        let accept_stale = !request.attempts.is_empty() || self.is_congested(now, request.class);
+        let accept_stale = !request.attempts.is_empty() || self.is_congested(now, &request.class);
         let max_age = self.max_age(now, request, accept_stale, path.to);
         Action::Forward {
             id,
@@ -203,7 +200,7 @@
 
     /// The rank at which a cache retains the copy that a request fetches.
     fn retention_rank(&self, request: &PendingRequest) -> u8 {
-        if self.settings.classes[request.class].uncacheable {
+        if request.class.settings.uncacheable {
             UNCACHEABLE_RANK
         } else if self.object_counts.get(request.object) > 1.0 {
             REPEATED_REQUEST_RANK
@@ -278,7 +275,7 @@
     /// Sends the final response: rejected if the client may safely retry, else failed.
     fn reject_or_fail(&mut self, now: Micros, id: RequestId, reason: EndReason, actions: &mut Actions) {
         let Some(request) = self.requests.get(&id) else { return };
-        let key_scope = self.settings.classes[request.class].key_scope;
+        let key_scope = request.class.settings.key_scope;
         let until = self.repeatable_until(request);
         // A retry of the client may reach any endpoint, so all endpoints must drop repeats by the key.
         let repeatable = now < until && (until == Micros::MAX || key_scope == KeyScope::All);
--- a/src/policy/attribution.rs
+++ b/src/policy/attribution.rs
@@ -29,7 +29,7 @@
     pub(super) fn update_estimates(&mut self, now: Micros, ended: &EndedAttempt) {
         let Some(request) = self.requests.get(&ended.request) else { return };
         let attempt = &request.attempts[ended.number];
-        let (class, path) = (request.class, attempt.path);
+        let (class, path) = (request.class.clone(), attempt.path);
         let may_fetch_from_origin = request.fill_scope == FillScope::Origin;
         let transfer_time = self.settings.sending_time(request.size_kb);
         let elapsed = ended.elapsed as f64;
@@ -40,7 +40,7 @@
         }
         if matches!(ended.outcome, AttemptOutcome::Served | AttemptOutcome::TimedOut) {
             self.update_capacity(now, path.to, late);
-            self.latency[class].add(ended.outcome, transfer_time, elapsed);
+            class.latency.borrow_mut().add(ended.outcome, transfer_time, elapsed);
         }
         let cache_only = path.source == Some(path.to);
         let served_from_cache = cache_only && ended.outcome == AttemptOutcome::Served;
@@ -48,7 +48,7 @@
         if cache_status != CacheStatus::Hit && may_fetch_from_origin {
             self.update_origin_fetch_share(now, ended, path);
         }
-        self.update_congestion(now, class, ended.outcome, late, cache_only);
+        self.update_congestion(now, &class, ended.outcome, late, cache_only);
         match ended.outcome {
             AttemptOutcome::Served => self.attribute_response(now, path, cache_status, late),
             outcome => self.attribute_failure(now, path, outcome, cache_status),
--- a/src/policy/freshness.rs
+++ b/src/policy/freshness.rs
@@ -51,7 +51,7 @@
         accept_stale: bool,
         to: EndpointId,
     ) -> Micros {
-        let class_max_age = self.max_age_of_class(request.class, accept_stale);
+        let class_max_age = max_age_of_class(&request.class.settings, accept_stale);
         let Some(purged_at) = self.purges.last_purge_of(request) else { return class_max_age };
         let responded_at = self.endpoints.get(&to).map_or(0, |endpoint| endpoint.health.responded_at);
         if responded_at >= purged_at + self.settings.purge_completion + PURGE_COMPLETION_MARGIN {
@@ -64,14 +64,13 @@
             since_purge.min(class_max_age)
         }
     }
+}
 
-    /// The maximum age that a class allows; 0 for no limit.
-    fn max_age_of_class(&self, class: usize, accept_stale: bool) -> Micros {
-        let class = &self.settings.classes[class];
-        match class.fresh_lifetime {
-            0 => 0,
-            fresh if accept_stale => fresh + class.stale_while_revalidate,
-            fresh => fresh,
-        }
+/// The maximum age that a class allows; 0 for no limit.
+fn max_age_of_class(class: &RequestClass, accept_stale: bool) -> Micros {
+    match class.fresh_lifetime {
+        0 => 0,
+        fresh if accept_stale => fresh + class.stale_while_revalidate,
+        fresh => fresh,
     }
 }
--- a/src/policy/load_shedding.rs
+++ b/src/policy/load_shedding.rs
@@ -1,6 +1,7 @@
 //! Load shedding: which requests are admitted, from which tiers their misses may be filled, and which
 //! fraction of the objects may be fetched from the origin.
 
+use super::classes::TrackedClass;
 use super::latency::HIT_OVERHEAD;
 use super::outlier_detection::EVIDENCE_HALF_LIFE;
 use super::pending_request::{AttemptPath, EndedAttempt, FillScope, PendingRequest};
@@ -42,12 +43,12 @@
 
 impl Router {
     /// The share of late responses of a class at this router.
-    pub(super) fn congestion(&self, now: Micros, class: usize) -> f64 {
-        self.latency[class].timeliness.bad_share(now, EVIDENCE_HALF_LIFE, CONGESTION_PRIOR)
+    pub(super) fn congestion(&self, now: Micros, class: &TrackedClass) -> f64 {
+        class.latency.borrow().timeliness.bad_share(now, EVIDENCE_HALF_LIFE, CONGESTION_PRIOR)
     }
 
     /// Whether the share of late responses of a class exceeds [`CONGESTION_THRESHOLD`].
-    pub(super) fn is_congested(&self, now: Micros, class: usize) -> bool {
+    pub(super) fn is_congested(&self, now: Micros, class: &TrackedClass) -> bool {
         self.congestion(now, class) > CONGESTION_THRESHOLD
     }
 
@@ -56,12 +57,12 @@
     pub(super) fn update_congestion(
         &mut self,
         now: Micros,
-        class: usize,
+        class: &TrackedClass,
         outcome: AttemptOutcome,
         late: bool,
         cache_only: bool,
     ) {
-        let timeliness = &mut self.latency[class].timeliness;
+        let timeliness = &mut class.latency.borrow_mut().timeliness;
         match outcome {
             AttemptOutcome::Served if cache_only => {}
             AttemptOutcome::Served if !late => timeliness.good.add(now, EVIDENCE_HALF_LIFE, 1.0),
@@ -76,7 +77,7 @@
     /// transfer time are rejected first. The more responses of the class are late, the lower the load above
     /// which fills are shed; hits are still served, as they need no fill source.
     pub(super) fn admit(&self, now: Micros, request: &PendingRequest) -> Option<FillScope> {
-        if self.settings.classes[request.class].uncacheable {
+        if request.class.settings.uncacheable {
             return Some(FillScope::Origin);
         }
         let Some(cache) = self.choose_cache(now, request, 0.0) else { return Some(FillScope::Origin) };
@@ -85,7 +86,7 @@
         if load > limit {
             return None;
         }
-        let late_share = self.congestion(now, request.class);
+        let late_share = self.congestion(now, &request.class);
         if load > limit * (1.0 - LATE_REDUCTION * late_share).max(MIN_FILL_LOAD_FRACTION) {
             return Some(FillScope::CacheOnly);
         }
@@ -98,20 +99,18 @@
     /// The load of its cache up to which a request is admitted. It is proportional to the request's value per
     /// transfer time, relative to the mean of the cacheable classes.
     fn admitted_load(&self, now: Micros, request: &PendingRequest) -> f64 {
-        let cacheable = || {
-            let classes = self.settings.classes.iter().zip(&self.latency);
-            classes.filter(|(class, _)| !class.uncacheable)
-        };
-        let values = cacheable().map(|(class, latency)| class.priority_weight / latency.transfer_time);
+        let cacheable = || self.classes.listed().filter(|class| !class.settings.uncacheable);
+        let values =
+            cacheable().map(|class| class.settings.priority_weight / class.latency.borrow().transfer_time);
         let mean_value = values.sum::<f64>() / cacheable().count() as f64;
         let transfer_time = if request.size_kb > 0.0 {
             self.settings.sending_time(request.size_kb).max(HIT_OVERHEAD)
         } else {
-            self.latency[request.class].transfer_time
+            request.class.latency.borrow().transfer_time
         };
-        let congested = self.is_congested(now, request.class);
+        let congested = self.is_congested(now, &request.class);
         let min_factor = if congested { MIN_VALUE_FACTOR_CONGESTED } else { MIN_VALUE_FACTOR };
-        let class = &self.settings.classes[request.class];
+        let class = &request.class.settings;
         let value = class.priority_weight / transfer_time / mean_value;
         SHED_LOAD * value.clamp(min_factor, MAX_VALUE_FACTOR)
     }
@@ -119,7 +118,7 @@
     /// Updates the origin fetch share with an outcome other than a hit.
     pub(super) fn update_origin_fetch_share(&mut self, now: Micros, ended: &EndedAttempt, path: AttemptPath) {
         let Some(request) = self.requests.get(&ended.request) else { return };
-        let write = self.settings.classes[request.class].uncacheable;
+        let write = request.class.settings.uncacheable;
         let latency_objective = self.latency_objective(request);
         let limit = if write { SLOW_WRITE_FRACTION * latency_objective } else { latency_objective };
         let good = ended.outcome == AttemptOutcome::Served && ended.elapsed as f64 <= limit;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 //! - `endpoints`: the list of endpoints; `placement`: selection of cache, fill source and path;
 //! - `attempts`: the life cycle of a request; `retries`: the retry budget and when a repeat is allowed;
 //! - `outlier_detection`, `health_checks` and `slow_start`: which endpoints get new attempts, and how many;
+//! - `classes`: request classes across changes of the settings;
 //! - `latency`: timeouts of classes; `load`: load and capacity of caches; `attribution`: updates class
 //!   latency, cache capacity, the origin fetch share and endpoint health from the outcomes of attempts;
 //! - `load_shedding`: which requests are admitted; `freshness`: purges and the maximum age of copies;
@@ -12,6 +13,7 @@
 
 mod attempts;
 mod attribution;
+mod classes;
 mod containment;
 mod endpoints;
 mod freshness;
@@ -28,9 +30,9 @@
 
 use crate::interface::*;
 use crate::stats::{AdaptiveShare, DecayingSum, RecentCounts, SeededRandom};
+use classes::TrackedClasses;
 use endpoints::TrackedEndpoint;
 use freshness::Purges;
-use latency::LatencyEstimate;
 use pending_request::{EndedAttempt, FillScope, PendingRequest};
 use placement::{MAX_COUNTED_OBJECTS, OBJECT_COUNT_SPAN};
 use retries::INITIAL_RETRY_BUDGET;
@@ -61,8 +63,7 @@
     purges: Purges,
     /// Recent requests per object.
     object_counts: RecentCounts,
-    /// The latency estimate of each class.
-    latency: Vec<LatencyEstimate>,
+    classes: TrackedClasses,
     /// The number of retries that may still be sent.
     retry_budget: DecayingSum,
     /// Fraction of the objects that may be fetched from the origin.
@@ -81,22 +82,17 @@
             watching: false,
             purges: Purges::default(),
             object_counts: RecentCounts::new(OBJECT_COUNT_SPAN, MAX_COUNTED_OBJECTS),
-            latency: settings.classes.iter().map(LatencyEstimate::initial).collect(),
+            classes: TrackedClasses::new(&settings.classes),
             retry_budget: DecayingSum::starting_with(INITIAL_RETRY_BUDGET),
             origin_fetch_share: AdaptiveShare::default(),
             settings,
         }
     }
 
-    /// Replaces the settings. A class that is unchanged at its index keeps its latency estimate.
+    /// Replaces the settings. Open requests keep the class under which they arrived, and an unchanged class
+    /// keeps its latency estimate.
     pub fn reconfigure(&mut self, settings: PolicySettings) {
-        let previous = self.settings.classes.iter().zip(&self.latency).map(Some);
-        let previous = previous.chain(std::iter::repeat(None));
-        let estimates = settings.classes.iter().zip(previous).map(|(class, previous)| match previous {
-            Some((old_class, estimate)) if old_class == class => *estimate,
-            _ => LatencyEstimate::initial(class),
-        });
-        self.latency = estimates.collect();
+        self.classes.replace(&settings.classes);
         self.settings = settings;
     }
 
@@ -109,9 +105,9 @@
             Event::WatchLost => {
                 actions.push(Action::SetTimer { token: REWATCH_TIMER, at: now + REWATCH_DELAY });
             }
-            Event::Request { id, class, object, group, part, size_kb, deadline_at, repeatable_until } => {
+            Event::Request { id, ref class, object, group, part, size_kb, deadline_at, repeatable_until } => {
                 let request = PendingRequest {
-                    class,
+                    class: self.classes.of(class),
                     object,
                     group,
                     part,
--- a/src/policy/pending_request.rs
+++ b/src/policy/pending_request.rs
@@ -1,6 +1,8 @@
 //! Requests in progress and their attempts.
 
+use super::classes::TrackedClass;
 use crate::interface::*;
+use std::rc::Rc;
 
 /// Number of lost connections and malformed responses at one cache after which a request is sent to another
 /// cache.
@@ -64,8 +66,8 @@
 
 /// A request without a final response, or with attempts still in flight.
 pub(super) struct PendingRequest {
-    /// Index of its class in the settings.
-    pub(super) class: usize,
+    /// The class under which it arrived.
+    pub(super) class: Rc<TrackedClass>,
     pub(super) object: ObjectId,
     pub(super) group: u32,
     pub(super) part: u32,
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -129,7 +129,7 @@
         request: &PendingRequest,
         transfer_time: f64,
     ) -> Option<AttemptPath> {
-        if self.settings.classes[request.class].uncacheable {
+        if request.class.settings.uncacheable {
             return self.write_path(now, request, transfer_time);
         }
         if request.fill_scope == FillScope::CacheOnly {
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -42,7 +42,7 @@
 
     /// The time until which a request may be repeated; 0 for never.
     pub(super) fn repeatable_until(&self, request: &PendingRequest) -> Micros {
-        let class = &self.settings.classes[request.class];
+        let class = &request.class.settings;
         let Some(first) = request.first_that_may_have_run() else { return request.repeatable_until };
         let until = match class.idempotency {
             Idempotency::Idempotent => Micros::MAX,
@@ -59,7 +59,7 @@
             return false;
         }
         let Some(first) = request.first_that_may_have_run() else { return true };
-        let class = &self.settings.classes[request.class];
+        let class = &request.class.settings;
         class.idempotency == Idempotency::Idempotent
             || self.shares_idempotency_keys(class.key_scope, first.path.to, to)
     }
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -35,7 +35,8 @@
     /// time of any class, so that the routers do not all send their first request at the same time, which
     /// together would exceed the sum of their budgets.
     pub(super) fn initial_warm_up_load(&mut self) -> f64 {
-        let longest = self.latency.iter().map(|estimate| estimate.transfer_time).fold(0.0, f64::max);
+        let longest =
+            self.classes.listed().map(|class| class.latency.borrow().transfer_time).fold(0.0, f64::max);
         // 3 is the purpose of these draws, which makes them independent of those of `retry_after`.
         longest * self.random.next(3)
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,7 +1,7 @@
 //! The platform's settings as used by the proxy, the decision module and the simulator adapter.
 //!
-//! `platform_json` deserializes the platform's JSON; `check` validates the settings; `classes` keeps class
-//! indexes stable across reloads; `endpoints` determines an endpoint's tier from its record.
+//! `platform_json` deserializes the platform's JSON; `check` validates the settings; `classes` has
+//! the request classes, which requests share; `endpoints` determines an endpoint's tier from its record.
 
 mod check;
 mod classes;
@@ -9,19 +9,19 @@
 mod platform_json;
 
 pub use check::SettingsError;
+pub use classes::PlatformClass;
 pub use platform_json::lenient;
 
-use crate::clock::ms_from_micros;
-use crate::{Idempotency, PolicySettings, RequestClass};
+use crate::PolicySettings;
 use platform_json::PlatformJson;
 use serde::Deserialize;
+use std::rc::Rc;
 
 /// The settings of a proxy.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(from = "PlatformJson")]
 pub struct PlatformSettings {
-    /// The request classes; requests refer to them by index.
-    classes: Vec<ClassSettings>,
+    classes: Vec<Rc<PlatformClass>>,
     /// The settings of the decision module, without classes.
     policy: PolicySettings,
     /// Names of all zones; the discovery service refers to them by index.
@@ -38,15 +38,6 @@
     drain_grace_ms: f64,
 }
 
-/// A request class with its name.
-#[derive(Clone, Debug, PartialEq)]
-struct ClassSettings {
-    name: String,
-    /// The class was removed from the settings. It is kept for requests that were accepted before.
-    retired: bool,
-    policy: RequestClass,
-}
-
 impl PlatformSettings {
     /// The settings of the decision module.
     pub fn policy_settings(&self) -> PolicySettings {
@@ -54,14 +45,14 @@
         PolicySettings { classes, ..self.policy.clone() }
     }
 
-    /// Index of the class with this name, unless it is retired.
-    pub fn class_index(&self, name: &str) -> Option<usize> {
-        self.classes.iter().position(|class| class.name == name && !class.retired)
+    /// The class with this name.
+    pub fn class(&self, name: &str) -> Option<&Rc<PlatformClass>> {
+        self.classes.iter().find(|class| class.name == name)
     }
 
-    /// Name of the class at an index.
-    pub fn class_name(&self, index: usize) -> Option<&str> {
-        self.classes.get(index).map(|class| class.name.as_str())
+    /// All classes, in the order of the settings.
+    pub fn classes(&self) -> &[Rc<PlatformClass>] {
+        &self.classes
     }
 
     /// Name of the zone at an index.
@@ -94,33 +85,8 @@
         self.drain_grace_ms
     }
 
-    /// Whether the requests of a class are writes, which run at the origin.
-    pub fn is_write(&self, class: usize) -> bool {
-        self.class(class).is_some_and(|class| class.uncacheable)
-    }
-
-    /// Whether the requests of a class may be repeated without an idempotency key.
-    pub fn is_idempotent(&self, class: usize) -> bool {
-        self.class(class).is_some_and(|class| class.idempotency == Idempotency::Idempotent)
-    }
-
-    /// Whether the requests of a class carry an idempotency key.
-    pub fn has_idempotency_key(&self, class: usize) -> bool {
-        self.class(class).is_some_and(|class| class.idempotency == Idempotency::WithKey)
-    }
-
-    /// Deadline of the requests of a class, over all their attempts, in milliseconds.
-    pub fn deadline_ms(&self, class: usize) -> f64 {
-        self.class(class).map_or(0.0, |class| ms_from_micros(class.deadline))
-    }
-
-    /// The longest deadline of all classes that are not retired, in milliseconds.
+    /// The longest deadline of all classes, in milliseconds.
     pub fn longest_deadline_ms(&self) -> f64 {
-        let classes = self.classes.iter().filter(|class| !class.retired);
-        classes.map(|class| ms_from_micros(class.policy.deadline)).fold(0.0, f64::max)
-    }
-
-    fn class(&self, index: usize) -> Option<&RequestClass> {
-        self.classes.get(index).map(|class| &class.policy)
+        self.classes.iter().map(|class| class.deadline_ms()).fold(0.0, f64::max)
     }
 }
--- a/src/settings/platform_json.rs
+++ b/src/settings/platform_json.rs
@@ -1,9 +1,10 @@
 //! The platform's settings JSON. Unknown keys are ignored; an optional key that is absent or null reads as
 //! its type's default.
 
-use super::{ClassSettings, PlatformSettings};
+use super::{PlatformClass, PlatformSettings};
 use crate::{Idempotency, KeyScope, Micros, PolicySettings, RequestClass, SlowStart};
 use serde::{Deserialize, Deserializer};
+use std::rc::Rc;
 
 /// Default time within which a connection must be established, in milliseconds.
 const DEFAULT_CONNECT_TIMEOUT_MS: f64 = 400.0;
@@ -138,7 +139,7 @@
     fn from(json: PlatformJson) -> Self {
         let family = &json.family;
         let classes = json.classes.iter().enumerate();
-        let classes = classes.map(|(index, class)| class.settings(family, index)).collect();
+        let classes = classes.map(|(index, class)| Rc::new(class.settings(family, index))).collect();
         Self {
             classes,
             policy: json.policy(),
@@ -206,7 +207,7 @@
 
 impl ClassJson {
     /// The class at an index of the list, with its values from the family's lists.
-    fn settings(&self, family: &FamilyJson, index: usize) -> ClassSettings {
+    fn settings(&self, family: &FamilyJson, index: usize) -> PlatformClass {
         let policy = RequestClass {
             latency_objective: self.latency_objective,
             latency_stretch: self.latency_stretch,
@@ -227,7 +228,7 @@
             stale_while_revalidate: family.stale_while_revalidate.get(index).copied().unwrap_or(0),
             uncacheable: family.uncacheable.get(index).copied().unwrap_or(false),
         };
-        ClassSettings { name: self.name.clone(), retired: false, policy }
+        PlatformClass { name: self.name.clone(), policy: Rc::new(policy) }
     }
 }
 
--- a/src/state/requests.rs
+++ b/src/state/requests.rs
@@ -2,6 +2,7 @@
 
 use super::deadlines::Deadlines;
 use super::request_memory::RequestReservation;
+use crate::settings::PlatformClass;
 use crate::RequestId;
 use bytes::Bytes;
 use std::collections::HashMap;
@@ -15,8 +16,8 @@
     pub id: RequestId,
     /// The id as text, in the form that is forwarded.
     pub id_text: String,
-    /// Index of its class in the settings.
-    pub class: usize,
+    /// The class under which it arrived, which it keeps over changes of the settings.
+    pub class: Rc<PlatformClass>,
     /// Id of the object.
     pub object: u64,
     /// The object's id as text, in the form that is forwarded.
@@ -170,11 +171,6 @@
         Some(number)
     }
 
-    /// Whether a request of this class is open.
-    pub fn uses_class(&self, class: usize) -> bool {
-        self.open.values().any(|open| open.request.class == class)
-    }
-
     /// The earliest deadline of an open request, in Unix milliseconds.
     pub fn next_due(&mut self) -> Option<f64> {
         self.deadlines.next_due(|id, due_ms| Self::is_current(&self.open, id, due_ms))
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -118,30 +118,30 @@
             Classification::NoMatch => return Err(RequestError::NotFound),
             // An unknown class takes precedence over any other error.
             Classification::Malformed if classifier.is_none() => {
-                let class = settings.class_index(PlatformPath::class_text(request));
+                let class = settings.class(PlatformPath::class_text(request));
                 return Err(class.map_or(RequestError::NotFound, |_| RequestError::Malformed));
             }
             Classification::Malformed => return Err(RequestError::Malformed),
         };
-        let class = settings.class_index(&class).ok_or(RequestError::NotFound)?;
+        let class = settings.class(&class).ok_or(RequestError::NotFound)?;
         if part > MAX_PART || group > MAX_GROUP {
             return Err(RequestError::Malformed);
         }
-        check_method(request, settings.is_write(class))?;
+        check_method(request, class.is_write())?;
         let id_text = field(request, header_field::REQUEST_ID)?.ok_or(RequestError::Malformed)?;
         let id = parse_hex16(id_text).ok_or(RequestError::Malformed)?;
         let wait_ms = decimal_field(request, header_field::CLIENT_WAIT, MAX_CLIENT_WAIT_MS)?
-            .unwrap_or_else(|| settings.deadline_ms(class));
+            .unwrap_or_else(|| class.deadline_ms());
         let size_kb = decimal_field(request, header_field::SIZE, MAX_SIZE_KB)?.unwrap_or(0.0);
         let key = idempotency_key(request)?;
         // Without the key, a retried request could take effect twice.
-        if key.is_none() && settings.has_idempotency_key(class) {
+        if key.is_none() && class.has_idempotency_key() {
             return Err(RequestError::Malformed);
         }
         Ok(IncomingRequest {
             id,
             id_text: id_text.to_string(),
-            class,
+            class: class.clone(),
             object,
             object_text: match classifier {
                 // In the platform's path form, the object's text is forwarded as received.
--- a/src/wire/signed_urls/front.rs
+++ b/src/wire/signed_urls/front.rs
@@ -59,21 +59,20 @@
         let requested = format!("{}://{host}{path}", self.scheme);
         // A token that also matches the next group is rejected: with a pattern over the group, a client could
         // choose a group that is not purged.
-        let excluded = format!("{}://{host}{}", self.scheme, media_path.in_next_group().path(settings));
+        let excluded = format!("{}://{host}{}", self.scheme, media_path.in_next_group().path());
         let uri = SignedUri { requested: &requested, excluded: &excluded };
         let renewal = self.verifier.borrow().verify(token, uri, now);
         let renewal = renewal.map_err(|error| HttpResponse::status(error.status()))?;
         let set_cookie = renewal.map(|renewal| renewal.cookie(path, self.scheme == "https"));
         let context = response_context(request, set_cookie)?;
-        let request = self.incoming_request(&media_path, &context, settings, now);
+        let request = self.incoming_request(media_path, &context, now);
         Ok((Box::new(request), context))
     }
 
     fn incoming_request(
         &self,
-        media_path: &MediaPath,
+        media_path: MediaPath,
         context: &ResponseContext,
-        settings: &PlatformSettings,
         now: f64,
     ) -> IncomingRequest {
         self.request_count.set(self.request_count.get().wrapping_add(1));
@@ -83,13 +82,13 @@
         IncomingRequest {
             id,
             id_text: format!("{id:016x}"),
-            class: media_path.class,
             object: media_path.object,
             object_text: format!("{:016x}", media_path.object),
             part: media_path.part,
             group: media_path.group,
             size_kb: media_path.size_kb,
-            deadline_ms: now + (settings.deadline_ms(media_path.class) - CLIENT_MARGIN_MS).max(0.0),
+            deadline_ms: now + (media_path.class.deadline_ms() - CLIENT_MARGIN_MS).max(0.0),
+            class: media_path.class,
             client_etag: condition.and_then(parse_single_tag),
             ..IncomingRequest::default()
         }
--- a/src/wire/signed_urls/link.rs
+++ b/src/wire/signed_urls/link.rs
@@ -1,7 +1,8 @@
 //! The path of a signed URL, which names a part of an object.
 
-use crate::settings::PlatformSettings;
+use crate::settings::{PlatformClass, PlatformSettings};
 use crate::text::parse_hex16;
+use std::rc::Rc;
 use thiserror::Error;
 
 /// The highest group number accepted in a signed URL.
@@ -33,7 +34,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct MediaPath {
     /// Index of the object class in the settings.
-    pub class: usize,
+    pub class: Rc<PlatformClass>,
     /// The number of the object's purge group.
     pub group: u32,
     /// The object's id.
@@ -64,8 +65,8 @@
             [class, group, object, part, size] => (class, group, object, part, Some(size)),
             _ => return Err(MediaPathError::NotFound),
         };
-        let class = settings.class_index(class).filter(|class| !settings.is_write(*class));
-        let class = class.ok_or(MediaPathError::NotFound)?;
+        let class = settings.class(class).filter(|class| !class.is_write());
+        let class = class.cloned().ok_or(MediaPathError::NotFound)?;
         let group =
             parse_integer(group).filter(|group| *group <= MAX_GROUP).ok_or(MediaPathError::Malformed)?;
         let is_lowercase = !object.bytes().any(|b| b.is_ascii_uppercase());
@@ -84,8 +85,8 @@
     }
 
     /// Formats the path in canonical form.
-    pub(super) fn path(&self, settings: &PlatformSettings) -> String {
-        let class = settings.class_name(self.class).unwrap_or_default();
+    pub(super) fn path(&self) -> String {
+        let class = self.class.name();
         let path = format!("/media/{class}/{}/{:016x}/{}", self.group, self.object, self.part);
         if self.size_kb > 0.0 {
             format!("{path}/{}", self.size_kb)
--- a/tests/admission_loopback.rs
+++ b/tests/admission_loopback.rs
@@ -46,10 +46,6 @@
     write: bool,
     abandon: bool,
 ) -> Option<Response> {
-    let socket = TcpSocket::new_v4().ok()?;
-    socket.bind(SocketAddr::new(from, 0)).ok()?;
-    let start = Instant::now();
-    let mut stream = socket.connect(proxy).await.ok()?;
     let request = if write {
         format!(
             "PUT /ops/ad-post/{id:016x} HTTP/1.1\r\nHost: t\r\nX-Call-Id: {id:016x}\r\nX-Patience-Ms: 2000\r\n\
@@ -62,6 +58,16 @@
             id % 500
         )
     };
+    send_and_receive(proxy, from, &request, abandon).await
+}
+
+/// Sends a request that closes its connection, from the address `from`. If `abandon`, closes the connection after
+/// sending and returns `None`.
+async fn send_and_receive(proxy: SocketAddr, from: IpAddr, request: &str, abandon: bool) -> Option<Response> {
+    let socket = TcpSocket::new_v4().ok()?;
+    socket.bind(SocketAddr::new(from, 0)).ok()?;
+    let start = Instant::now();
+    let mut stream = socket.connect(proxy).await.ok()?;
     stream.write_all(request.as_bytes()).await.ok()?;
     if abandon {
         return None;
@@ -407,6 +413,53 @@
     });
 }
 
+/// Guards against a queued request that is sent as one of another class, because reloads gave its class away.
+#[test]
+fn a_queued_request_keeps_its_class_over_reloads_of_it_and_of_another_class() {
+    run(async {
+        let fleet = SlowCacheFleet::start(149, 4, 8, 1_200).await;
+        let admission = r#"{"limit":{"first":1,"least":1,"most":1},"reserve_share":0}"#;
+        let name = "admission-class";
+        let (proxy, listen, mgmt) = start_proxy(&fleet, 149, name, admission).await;
+        let wait_until_metric =
+            |name: &'static str, expected: u64| async move { while metric(mgmt, name).await != expected {} };
+        let [running, queued]: [IpAddr; 2] = [40, 41].map(|host| IpAddr::from([127, 0, 149, host]));
+        // A part of a large object, whose attempt may take that long.
+        let first = spawn_local(async move {
+            let head = "GET /ops/video-part/0000000000000001/slice-0 HTTP/1.1\r\nHost: t\r\n\
+                X-Call-Id: 0000000000000001\r\nX-Patience-Ms: 5000\r\nX-Heap-Kb: 6000\r\n\
+                Connection: close\r\n\r\n";
+            send_and_receive(listen, running, head, false).await
+        });
+        wait_until_metric("door_open ", 1).await;
+        while !fleet.request_ids.borrow().contains(&format!("{:016x}", 1)) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        // Only the first request takes long.
+        fleet.work_ms.set(20);
+        let ad_post = spawn_local(send_request(listen, queued, 2, true, false));
+        wait_until_metric("door_queued ", 1).await;
+        // First the queued request's class changes, then the other one.
+        let path = test_dir(name).join("config.json");
+        for (reloads, former_objective, objective) in [(1, "700000", "710000"), (2, "300000", "310000")] {
+            let text = std::fs::read_to_string(&path).unwrap();
+            let changed = text.replace(
+                &format!("\"promiseUs\": {former_objective}"),
+                &format!("\"promiseUs\": {objective}"),
+            );
+            assert_ne!(text, changed);
+            std::fs::write(&path, changed).unwrap();
+            let pid = proxy.0.id().to_string();
+            assert!(Command::new("kill").args(["-HUP", &pid]).status().unwrap().success());
+            wait_until_metric("app_config_applied_total ", reloads).await;
+        }
+        assert_eq!(metric(mgmt, "door_queued ").await, 1, "it is queued during both reloads");
+        assert_eq!(first.await.unwrap().map(|response| response.status), Some(200));
+        assert_eq!(ad_post.await.unwrap().map(|response| response.status), Some(200));
+        assert_eq!(fleet.classes_by_id.borrow()[&format!("{:016x}", 2)], "ad-post");
+    });
+}
+
 #[test]
 fn weights_reloaded_by_sighup_apply_within_a_second_and_no_queued_request_is_lost() {
     run(async {
--- a/tests/cold_members.rs
+++ b/tests/cold_members.rs
@@ -62,11 +62,11 @@
             }
             id += 1;
             let object = (draw(&mut random) * 20_000.0) as u64;
-            let (class, group, part, size_kb, deadline_at) = (0, 0, 0, SIZE_KB, now + 3 * S);
+            let (group, part, size_kb, deadline_at) = (0, 0, SIZE_KB, now + 3 * S);
             let mut actions = Vec::new();
             let request = Event::Request {
                 id,
-                class,
+                class: policy.classes[0].clone(),
                 object,
                 group,
                 part,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 use edge_proxy::*;
+use std::rc::Rc;
 
 /// One second.
 pub const S: Micros = 1_000_000;
@@ -53,7 +54,7 @@
         overload_window: 2 * S,
     };
     PolicySettings {
-        classes: vec![idempotent(), fresh, keyed, not_idempotent],
+        classes: [idempotent(), fresh, keyed, not_idempotent].map(Rc::new).to_vec(),
         fleet_size: 1,
         local_fleet_size: 1,
         client_kb_per_s: 5_000.0,
@@ -93,6 +94,8 @@
 /// A router with a test clock.
 pub struct Harness {
     pub router: Router,
+    /// The classes of its settings.
+    pub classes: Vec<Rc<RequestClass>>,
     pub now: Micros,
     last_id: RequestId,
 }
@@ -137,7 +140,8 @@
 impl Harness {
     /// Creates a router with a list of endpoints.
     pub fn new(settings: PolicySettings, entries: Vec<Endpoint>) -> Self {
-        let mut harness = Self { router: Router::new(settings, 7), now: 100 * S, last_id: 0 };
+        let classes = settings.classes.clone();
+        let mut harness = Self { router: Router::new(settings, 7), classes, now: 100 * S, last_id: 0 };
         harness.handle(Event::EndpointsChanged { full: true, entries });
         harness
     }
@@ -149,12 +153,12 @@
         actions
     }
 
-    /// Handles a new request with a deadline in three seconds.
+    /// Handles a new request, of the class at this place of the settings, with a deadline in three seconds.
     pub fn request(&mut self, class: usize, object: ObjectId) -> Vec<Action> {
         self.last_id += 1;
         self.handle(Event::Request {
             id: self.last_id,
-            class,
+            class: self.classes[class].clone(),
             object,
             group: (object % 32) as u32,
             part: 0,
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -7,7 +7,7 @@
 use edge_proxy::endpoint_list::{Sequenced, WatchEvent};
 use edge_proxy::engine::{Effect, Engine, EngineLimits, NextWrite};
 use edge_proxy::response_path::ResponsePath;
-use edge_proxy::settings::PlatformSettings;
+use edge_proxy::settings::{PlatformClass, PlatformSettings};
 use edge_proxy::state::connections::ConnectionLimits;
 use edge_proxy::state::ids::ConnectionId;
 use edge_proxy::state::requests::{FinalResponse, IncomingRequest};
@@ -20,17 +20,21 @@
 /// Time from the submission of a request to its deadline, in milliseconds.
 const REQUEST_DEADLINE_MS: f64 = 2_000.0;
 /// Class of reads.
-const CLIP: usize = 0;
+const CLIP: &str = "clip";
 /// Class of writes without an idempotency key.
-const POST: usize = 1;
+const POST: &str = "post";
 /// Class of writes with an idempotency key.
-const ORDER: usize = 2;
+const ORDER: &str = "order";
 /// Entity tag of all replies.
 const REPLY_ETAG: &str = "t";
 
 /// Settings with the classes [`CLIP`], [`POST`] and [`ORDER`], and `streams` concurrent requests per
 /// connection.
 fn settings(streams: u32) -> PlatformSettings {
+    simd_json::from_slice(&mut settings_text(streams).into_bytes()).unwrap()
+}
+
+fn settings_text(streams: u32) -> String {
     let text = r#"{"classes":[{"name":"clip","deadlineUs":5000000,"promiseUs":600000,"semantics":"pure",
             "worth":2.0},{"name":"post","deadlineUs":3000000,"promiseUs":700000,"semantics":"side_effect",
             "worth":3.0},{"name":"order","deadlineUs":3000000,"promiseUs":700000,"semantics":"token",
@@ -39,7 +43,7 @@
             "skus":["box","parent","origin"],"siblings":1,"policyLimits":{"cancelling":true,
             "connectTimeoutUs":400000,"sendCap":8,"streamsPerConn":STREAMS,"retryAfter":true,
             "maxRetryAfterUs":500000}}"#;
-    simd_json::from_slice(&mut text.replace("STREAMS", &streams.to_string()).into_bytes()).unwrap()
+    text.replace("STREAMS", &streams.to_string())
 }
 
 /// An engine with a manual clock. The test takes the place of the connection drivers.
@@ -69,12 +73,19 @@
         self.engine.apply_event(Sequenced { number: self.last_event_number, event });
     }
 
-    fn request(&mut self, id: u64, class: usize) {
+    /// The class with this name.
+    fn class(&self, name: &str) -> Rc<PlatformClass> {
+        self.engine.settings().class(name).expect("a class of the settings").clone()
+    }
+
+    fn request(&mut self, id: u64, class: &str) {
+        let class = self.class(class);
         self.submit(IncomingRequest { id, class, object: 42, group: 17, ..IncomingRequest::default() });
     }
 
     fn request_object(&mut self, id: u64, object: u64) {
-        self.submit(IncomingRequest { id, object, ..IncomingRequest::default() });
+        let class = self.class(CLIP);
+        self.submit(IncomingRequest { id, class, object, ..IncomingRequest::default() });
     }
 
     fn submit(&mut self, request: IncomingRequest) {
@@ -333,8 +344,10 @@
 fn not_modified_is_accepted_only_for_the_entity_tag_of_the_request() {
     for (client_etag, accepted) in [(REPLY_ETAG, true), ("u", false)] {
         let mut harness = Harness::new(&[1, PARENT, 9]);
+        let class = harness.class(CLIP);
         harness.submit(IncomingRequest {
             id: 1,
+            class,
             object: 42,
             client_etag: Some(client_etag.into()),
             ..IncomingRequest::default()
@@ -519,7 +532,7 @@
 fn each_request_gets_one_response_before_its_deadline() {
     let mut harness = Harness::new(&[1, 2, PARENT, 9]);
     for id in 1..=5 {
-        harness.request(id, (id % 2) as usize);
+        harness.request(id, [CLIP, POST][(id % 2) as usize]);
     }
     let mut answered = Vec::new();
     for _ in 0..200 {
@@ -595,7 +608,7 @@
 fn a_limit_of_now_ends_all_requests_while_the_clock_stands_still() {
     let mut harness = Harness::new(&[1, 2, PARENT, 9]);
     harness.engine.limit_deadlines(START_MS + 3_500.0);
-    (1..=6).for_each(|id| harness.request(id, (id % 3) as usize));
+    (1..=6).for_each(|id| harness.request(id, [CLIP, POST, ORDER][(id % 3) as usize]));
     harness.engine.limit_deadlines(START_MS);
     harness.engine.tick();
     let mut ids: Vec<u64> = harness.take_responses().into_iter().map(|(id, _)| id).collect();
@@ -628,28 +641,50 @@
     assert_eq!(harness.engine.open_requests(), 1, "the router has sent another attempt");
 }
 
-/// Guards against a class table that grows at every reload.
+/// [`settings`] with another name and latency objective of the class [`POST`].
+fn settings_with_class(name: &str, latency_objective_us: u64) -> PlatformSettings {
+    let post = r#""post","deadlineUs":3000000,"promiseUs":700000"#;
+    let other = format!(r#""{name}","deadlineUs":3000000,"promiseUs":{latency_objective_us}"#);
+    let text = settings_text(4).replace(post, &other);
+    assert!(text.contains(name));
+    simd_json::from_slice(&mut text.into_bytes()).unwrap()
+}
+
+/// Guards against a class table that grows at every reload, and classes that outlive their requests.
 #[test]
-fn indexes_of_retired_classes_are_reused() {
-    let settings_with_class = |name: &str| -> PlatformSettings {
-        let text = format!(
-            r#"{{"classes":[{{"name":"clip","deadlineUs":5,"promiseUs":6,"semantics":"pure"}},
-            {{"name":"{name}","deadlineUs":5,"promiseUs":6,"semantics":"pure"}}],"familyInfo":{{"uncached":[false,true]}}}}"#
-        );
-        simd_json::from_slice(&mut text.into_bytes()).unwrap()
-    };
-    let mut current = settings_with_class("a");
+fn a_reload_keeps_unchanged_classes_and_drops_those_that_no_request_holds() {
+    let mut harness = Harness::new(&[1, 9]);
+    harness.engine.reconfigure(settings_with_class("a", 700_000));
+    let clip = harness.class("clip");
+    let mut former = Rc::downgrade(&harness.class("a"));
     for round in 0..50 {
         let name = format!("b{round}");
-        current = settings_with_class(&name).with_class_indexes_of(&current, |_| false);
-        assert_eq!(current.class_index("clip"), Some(0));
-        let index = current.class_index(&name).unwrap();
-        assert!(
-            index < 4 && current.is_write(index) && !current.is_write(0),
-            "index {index} of class {name}"
-        );
+        harness.engine.reconfigure(settings_with_class(&name, 700_000));
+        assert!(Rc::ptr_eq(&harness.class("clip"), &clip), "an unchanged class stays the same object");
+        assert!(former.upgrade().is_none(), "the removed class is held by nothing");
+        assert_eq!(harness.engine.settings().classes().len(), 3);
+        let class = harness.class(&name);
+        assert!(class.is_write() && !clip.is_write());
+        former = Rc::downgrade(&class);
     }
-    let next = settings_with_class("z").with_class_indexes_of(&current, |_| true);
-    // All indexes are in use, so the new class gets the next one.
-    assert_eq!(next.class_index("z"), Some((0..).take_while(|k| current.class_name(*k).is_some()).count()));
+}
+
+/// Guards against a request that is sent as one of another class after reloads.
+#[test]
+fn a_request_keeps_the_class_under_which_it_arrived_over_any_number_of_reloads() {
+    let mut harness = Harness::new(&[1, 9]);
+    harness.engine.reconfigure(settings_with_class("a", 700_000));
+    // The request waits outside the engine, as in the queue of admission control.
+    let waiting = IncomingRequest { id: 1, class: harness.class("a"), object: 42, ..Default::default() };
+    for round in 0..10 {
+        harness.engine.reconfigure(settings_with_class("a", 700_001 + round));
+        harness.engine.reconfigure(settings_with_class("c", 700_001 + round));
+    }
+    harness.submit(waiting);
+    let opened = harness.take_opened();
+    harness.engine.connection_established(opened[0].0);
+    let request = harness.next_request(opened[0].0).expect("the request is sent");
+    assert_eq!((request.class.as_str(), request.fill_source, opened[0].1), ("a", None, 9));
+    harness.reply(opened[0].0, 1, ReplyStatus::Served);
+    assert!(matches!(harness.take_responses()[..], [(1, FinalResponse::Served { .. })]));
 }
--- a/tests/fleet_model/mod.rs
+++ b/tests/fleet_model/mod.rs
@@ -9,6 +9,7 @@
 use edge_proxy::*;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
 
 const ORIGIN: EndpointId = 900;
 const FIRST_PARENT: EndpointId = 800;
@@ -110,6 +111,7 @@
     now: Micros,
     random: u64,
     routers: Vec<Router>,
+    classes: Vec<Rc<RequestClass>>,
     events: BinaryHeap<Reverse<(Micros, u64, SimEvent)>>,
     last_sequence: u64,
     clients: Vec<Client>,
@@ -143,7 +145,7 @@
             weights_are_capacities: true,
             ..settings()
         };
-        policy.classes[WRITE].latency_objective = 700 * MS;
+        Rc::make_mut(&mut policy.classes[WRITE]).latency_objective = 700 * MS;
         let router = |k: u32| {
             let mut router = Router::new(policy.clone(), scenario.seed * 10_000 + u64::from(k));
             let location = k % scenario.locations;
@@ -156,6 +158,7 @@
         };
         let mut fleet = Self {
             routers: (0..scenario.fleet_size).map(router).collect(),
+            classes: policy.classes.clone(),
             scenario,
             now: S,
             random: scenario.seed,
@@ -258,7 +261,8 @@
         }
         sender.requests_sent += 1;
         let id = client as RequestId * 10 + u64::from(sender.requests_sent);
-        let (router, class, object) = (sender.router, sender.class, sender.object);
+        let (router, object) = (sender.router, sender.object);
+        let class = self.classes[sender.class].clone();
         let (group, part, size_kb) = ((object % GROUPS) as u32, 0, 250.0);
         self.handle_at_router(
             router,
--- a/tests/grpc.rs
+++ b/tests/grpc.rs
@@ -126,6 +126,37 @@
     }
 }
 
+/// Guards against a call that loses its status because a reload removed its method while it was open.
+#[test]
+fn an_open_call_whose_method_is_removed_is_retried_as_its_route_says() {
+    run(async {
+        let proxy = TestProxy::start("grpc_removed_method", 2, "{}").await;
+        let client = GrpcClient::connect(proxy.address).await;
+        // The first attempt fails once the route is gone, the second is served.
+        proxy.backends.iter().for_each(|backend| backend.set_script("read sleep:200 status:14", 1));
+        let method = "/t.Patient/Get";
+        let call = spawn_local({
+            let client = client.clone();
+            async move { client.call(method, &[], message(1)).await }
+        });
+        wait_until("the call has arrived", || proxy.received_calls() == 1).await;
+        let called = usize::from(proxy.backends[0].call_count() == 0);
+        proxy.backends[1 - called].set_script("", 0);
+        let routes: Vec<serde_json::Value> = serde_json::from_str(ROUTES).unwrap();
+        let without_method = serde_json::to_string(&routes[..1]).unwrap();
+        let backends: Vec<_> = proxy.backends.iter().map(|backend| (backend.address, false)).collect();
+        write_config(&proxy.dir, proxy.address, &backends, "{}");
+        let text = std::fs::read_to_string(proxy.dir.join("grpc.json")).unwrap();
+        let text = text.replace(ROUTES, &without_method);
+        std::fs::write(proxy.dir.join("grpc.json"), text).unwrap();
+        proxy.front.reconfigure(GrpcConfig::read(&proxy.dir.join("grpc.json")).unwrap()).unwrap();
+        assert_eq!(client.call(method, &[], message(1)).await.status(), 12, "the method is gone");
+        let response = call.await.unwrap();
+        assert_eq!(response.status(), 0, "{response:?}");
+        assert_eq!(proxy.received_calls(), 2);
+    });
+}
+
 /// Guards against a call that is reset without a status because its handling panicked.
 #[test]
 fn a_panic_in_the_handling_of_a_call_ends_it_with_the_status_internal() {
--- a/tests/http3.rs
+++ b/tests/http3.rs
@@ -108,6 +108,18 @@
         text.lines().find_map(|l| l.strip_prefix(&format!("poor_{name} "))?.parse().ok()).unwrap()
     }
 
+    /// Reloads the configuration with another latency objective of a class.
+    fn change_class(&self, name: &str, former_objective: u64, objective: u64) {
+        let path = test_dir(name).join("config.json");
+        let text = std::fs::read_to_string(&path).unwrap();
+        let [former, changed] =
+            [former_objective, objective].map(|objective| format!("\"promiseUs\": {objective}"));
+        assert!(text.contains(&former));
+        std::fs::write(&path, text.replace(&former, &changed)).unwrap();
+        let settings = Config::read(&path).unwrap().settings;
+        self.executor.with(|engine| engine.reconfigure(settings));
+    }
+
     fn execution_count(&self, id: u64) -> u32 {
         self.fleet.requests_by_idempotency_key.borrow().get(&format!("k{id:x}")).copied().unwrap_or(0)
     }
@@ -128,6 +140,46 @@
 const LARGE_HEADERS: [(&str, &str); 2] = [("x-call-id", "00000000000000c1"), ("x-patience-ms", "4000")];
 const LARGE_PATH: &str = "/ops/video-part/7f3a9c21e0b4d655/slice-3";
 
+/// Guards against a kept response that a request of another class gets, because reloads gave the class away.
+#[test]
+fn a_kept_response_belongs_to_its_class_over_reloads() {
+    run(async {
+        let name = "http3-kept-class";
+        let fixture = Fixture::start(150, name, "").await;
+        let client = fixture.client().await;
+        let response = client.get_small_object(1, 1_500).await.unwrap();
+        assert_eq!((response.status, &response.body[..]), (200, &b"the bytes"[..]));
+        fixture.change_class(name, 300_000, 310_000);
+        fixture.change_class(name, 600_000, 610_000);
+        let headers = [("x-call-id", "0000000000000001"), ("x-patience-ms", "1500")];
+        let other_class = "/ops/video-part/0000000000000001/slice-0";
+        let response = client.request("GET", other_class, &headers, b"").await.unwrap();
+        assert_eq!(response.status, 409, "another request with the id of a kept one");
+        let repeat = client.get_small_object(1, 1_500).await.unwrap();
+        assert_eq!((repeat.status, &repeat.body[..]), (200, &b"the bytes"[..]), "the class only changed");
+    });
+}
+
+/// Guards against a retry that is refused as another request, because a reload changed its class meanwhile.
+#[test]
+fn a_retry_after_a_reload_of_its_class_gets_the_response_of_its_running_call() {
+    run(async {
+        let name = "http3-retried-class";
+        let fixture = Fixture::start(151, name, "").await;
+        let client = fixture.client().await;
+        client.get_small_object(1, 1_500).await.unwrap();
+        let token = client.session.borrow().clone();
+        fixture.fleet.work_ms.set(300);
+        let lost = spawn_local(async move { client.put_ad_post(90, 2_500).await });
+        wait_until("the ad-post reaches a cache", || fixture.execution_count(90) == 1).await;
+        lost.abort();
+        fixture.change_class(name, 700_000, 710_000);
+        let again = Http3Client::connect(fixture.quic_address, &fixture.config, token).await.unwrap();
+        let response = again.put_ad_post(90, 2_500).await.unwrap();
+        assert_eq!((response.status, fixture.execution_count(90)), (200, 1));
+    });
+}
+
 /// A classifier that panics.
 struct FaultyClassifier;
 
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -106,7 +106,7 @@
                 self.last_request_id += 1;
                 let deadline_ms = self.clock.now() + 100.0 + f64::from(b % 1_400);
                 let id_text = format!("{:016x}", self.last_request_id);
-                let class = usize::from(b.is_multiple_of(3));
+                let class = self.engine.settings().classes()[usize::from(b.is_multiple_of(3))].clone();
                 let request = IncomingRequest {
                     class,
                     id: self.last_request_id,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -402,7 +402,9 @@
         proxy.script_all(serve_content());
         std::fs::write(&path, &text).unwrap();
         reload_config(&proxy.executor, &proxy.config, &proxy.discovery_address);
-        assert_eq!(proxy.executor.with(|e| e.settings().class_index("clip")), Some(0));
+        let settings = proxy.executor.settings();
+        let classes: Vec<&str> = settings.classes().iter().map(|class| class.name()).collect();
+        assert_eq!(classes, ["clip", "thumb", "post"], "removed classes leave nothing behind");
         assert_eq!(send_request(address, "GET", CLIP, &headers(5)).await.status, 200);
         assert_eq!(send_request(address, "GET", &film, &headers(6)).await.status, 404);
     });
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -98,10 +98,10 @@
         let id = 1_000_000 + u64::from(part) + harness.now;
         harness.now += MS;
         let deadline_at = harness.now + 3 * S;
-        let (class, object, group, size_kb) = (0, 77, 1, 500.0);
+        let (object, group, size_kb) = (77, 1, 500.0);
         let event = Event::Request {
             id,
-            class,
+            class: harness.classes[0].clone(),
             object,
             group,
             part,
@@ -633,7 +633,7 @@
                 let (id, group, part, deadline_at) = (k + 1, 0, 0, harness.now + 3 * S);
                 let request = Event::Request {
                     id,
-                    class: 0,
+                    class: harness.classes[0].clone(),
                     object: *k,
                     group,
                     part,
@@ -764,7 +764,8 @@
     for object in 0..400 {
         harness.now += 10 * MS;
         let deadline_at = harness.now + 60 * MS;
-        let (id, class, group, part, size_kb) = (10_000 + object, 0, 0, 0, 500.0);
+        let (id, group, part, size_kb) = (10_000 + object, 0, 0, 500.0);
+        let class = harness.classes[0].clone();
         let actions = harness.handle(Event::Request {
             id,
             class,
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -42,6 +42,7 @@
 fn run(seed: u64, can_check_health: bool) -> Vec<Action> {
     let mut random = Xorshift(seed * 2 + 1);
     let policy = PolicySettings { can_check_health, ..settings() };
+    let classes = policy.classes.clone();
     let mut router = Router::new(policy, seed);
     let mut states: BTreeMap<EndpointId, EndpointState> =
         endpoints().iter().map(|e| (e.id, EndpointState::Active)).collect();
@@ -71,7 +72,7 @@
                     let (group, part) = ((object % 4) as u32, random.below(9) as u32);
                     Event::Request {
                         id: last_id,
-                        class,
+                        class: classes[class].clone(),
                         object,
                         group,
                         part,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,6 +5,7 @@
 
 use common::*;
 use edge_proxy::*;
+use std::rc::Rc;
 
 // ---- every request gets one final response ----
 
@@ -91,11 +92,26 @@
     assert_eq!(sent_attempts(&harness.end_attempt(id, 0, AttemptOutcome::NoConnection, false)).len(), 1);
 }
 
+/// Guards against a request that runs twice because a change of the settings gave it the class of others.
+#[test]
+fn a_request_keeps_its_class_over_a_change_of_the_settings() {
+    let mut harness = Harness::new(settings(), endpoints());
+    let [idempotent, not_idempotent] = [0, 3].map(|class| sent_attempts(&harness.request(class, 5))[0].id);
+    // All classes change their places, and one of them is no longer listed.
+    let classes = harness.classes.iter().rev().take(3).cloned().collect();
+    harness.router.reconfigure(PolicySettings { classes, ..settings() });
+    let repeated = sent_attempts(&harness.end_attempt(idempotent, 0, AttemptOutcome::TimedOut, false));
+    assert_eq!(repeated.len(), 1, "it may be repeated");
+    let actions = harness.end_attempt(not_idempotent, 0, AttemptOutcome::TimedOut, false);
+    assert!(sent_attempts(&actions).is_empty());
+    assert_eq!(final_responses(&actions), [(not_idempotent, false)], "it may have run");
+}
+
 #[test]
 fn a_request_with_an_idempotency_key_is_repeated_only_in_the_key_scope_and_window() {
     // All endpoints drop repeats for two seconds: the request is repeated within that time and not later.
     let mut policy = settings();
-    policy.classes[2].key_window = 2 * S;
+    Rc::make_mut(&mut policy.classes[2]).key_window = 2 * S;
     let mut harness = Harness::new(policy, endpoints());
     let id = sent_attempts(&harness.request(2, 5))[0].id;
     harness.now += 100 * MS;
@@ -112,7 +128,7 @@
     // rejected.
     let mut policy = settings();
     policy.can_bypass_caches = false;
-    policy.classes[2].key_scope = KeyScope::Cell;
+    Rc::make_mut(&mut policy.classes[2]).key_scope = KeyScope::Cell;
     let mut harness = Harness::new(policy, endpoints());
     for object in 0..40 {
         let mut actions = harness.request(2, object);
--- a/tests/stand_ins/slow_cache_fleet.rs
+++ b/tests/stand_ins/slow_cache_fleet.rs
@@ -19,6 +19,8 @@
     pub addresses: Vec<SocketAddr>,
     /// The ids of all received requests, in hexadecimal as on the wire.
     pub request_ids: Rc<RefCell<HashSet<String>>>,
+    /// The class of each received request, by its id.
+    pub classes_by_id: Rc<RefCell<HashMap<String, String>>>,
     pub requests_by_idempotency_key: Rc<RefCell<HashMap<String, u32>>>,
     /// The body size of responses for parts other than part 0, in bytes.
     pub part_bytes: Rc<Cell<usize>>,
@@ -43,6 +45,7 @@
     pub async fn start(net: u8, cache_count: usize, slots: usize, work_ms: u64) -> Self {
         let slots = Rc::new(Semaphore::new(slots));
         let request_ids: Rc<RefCell<HashSet<String>>> = Rc::default();
+        let classes_by_id: ClassesById = Rc::default();
         let arrivals: Rc<RefCell<Vec<(usize, f64)>>> = Rc::default();
         let requests_by_idempotency_key: Rc<RefCell<HashMap<String, u32>>> = Rc::default();
         let (part_bytes, work_ms): (Rc<Cell<usize>>, _) =
@@ -54,6 +57,7 @@
             addresses.push(listener.local_addr().unwrap());
             let (slots, request_ids, arrivals, requests_by_idempotency_key) =
                 (slots.clone(), request_ids.clone(), arrivals.clone(), requests_by_idempotency_key.clone());
+            let classes_by_id = classes_by_id.clone();
             let shared = (work_ms.clone(), part_bytes.clone(), cancelled.clone(), fails.clone());
             spawn_local(async move {
                 while let Ok((stream, _)) = listener.accept().await {
@@ -63,7 +67,7 @@
                         stream,
                         slots,
                         request_ids,
-                        (cache, arrivals, requests_by_idempotency_key.clone()),
+                        (cache, arrivals, requests_by_idempotency_key.clone(), classes_by_id.clone()),
                         shared.clone(),
                     ));
                 }
@@ -72,6 +76,7 @@
         Self {
             addresses,
             request_ids,
+            classes_by_id,
             arrivals,
             requests_by_idempotency_key,
             part_bytes,
@@ -85,14 +90,17 @@
 /// The processing time, the body size of parts other than part 0, the number of `DROP` lines, and whether requests
 /// fail.
 type ResponseState = (Rc<Cell<u64>>, Rc<Cell<usize>>, Rc<Cell<u32>>, Rc<Cell<bool>>);
-/// The index of the cache, the received requests, and the number of requests by idempotency key.
-type ArrivalLog = (usize, Rc<RefCell<Vec<(usize, f64)>>>, Rc<RefCell<HashMap<String, u32>>>);
+/// The class of each received request, by its id.
+type ClassesById = Rc<RefCell<HashMap<String, String>>>;
+/// The index of the cache, the received requests, the number of requests by idempotency key, and the classes of
+/// requests by id.
+type ArrivalLog = (usize, Rc<RefCell<Vec<(usize, f64)>>>, Rc<RefCell<HashMap<String, u32>>>, ClassesById);
 
 async fn serve(
     stream: TcpStream,
     slots: Rc<Semaphore>,
     request_ids: Rc<RefCell<HashSet<String>>>,
-    (cache, arrivals, requests_by_idempotency_key): ArrivalLog,
+    (cache, arrivals, requests_by_idempotency_key, classes_by_id): ArrivalLog,
     (work_ms, part_bytes, cancelled, fails): ResponseState,
 ) {
     let (read, write) = stream.into_split();
@@ -113,6 +121,9 @@
         }
         request_ids.borrow_mut().insert(fields[1].clone());
         arrivals.borrow_mut().push((cache, unix_ms()));
+        if let Some(class) = fields[2].split(',').find_map(|field| field.strip_prefix("c=")) {
+            classes_by_id.borrow_mut().insert(fields[1].clone(), class.to_string());
+        }
         if let Some(key) = fields[2].split(',').find_map(|field| field.strip_prefix("i=")) {
             *requests_by_idempotency_key.borrow_mut().entry(key.to_string()).or_default() += 1;
         }
--- a/tests/unit/policy_containment.rs
+++ b/tests/unit/policy_containment.rs
@@ -1,6 +1,10 @@
 //! Tests with a request whose state is corrupt, so that every decision about it panics.
 
 use super::*;
+use crate::policy::classes::TrackedClass;
+use crate::policy::latency::LatencyEstimate;
+use std::cell::RefCell;
+use std::rc::Rc;
 
 fn settings() -> PolicySettings {
     let no_slow_start =
@@ -18,7 +22,7 @@
         uncacheable: false,
     };
     PolicySettings {
-        classes: vec![class],
+        classes: vec![Rc::new(class)],
         fleet_size: 1,
         local_fleet_size: 1,
         client_kb_per_s: 5_000.0,
@@ -55,7 +59,7 @@
         let mut actions = Vec::new();
         let request = Event::Request {
             id,
-            class: 0,
+            class: router.settings.classes[0].clone(),
             object: id,
             group: 0,
             part: 0,
@@ -109,8 +113,12 @@
 }
 
 impl Router {
-    /// Makes every decision about an open request panic.
+    /// Makes every decision about an open request panic: the latency estimate of its class, which becomes one
+    /// of its own, stays borrowed.
     pub(crate) fn corrupt_request(&mut self, id: RequestId) {
-        self.requests.get_mut(&id).expect("the request is open").class = usize::MAX;
+        let request = self.requests.get_mut(&id).expect("the request is open");
+        let latency = RefCell::new(LatencyEstimate::initial(&request.class.settings));
+        std::mem::forget(latency.borrow_mut());
+        request.class = Rc::new(TrackedClass { settings: request.class.settings.clone(), latency });
     }
 }
