gRPC: without tenant_header each route is a tenant, over all pools

Callers saw: docs/grpc.md says that without tenant_header each route is a tenant.

Cause: the tenant was the route's place among those of its pool. Change: its place among all routes.

Test: each_route_is_a_tenant_of_its_own_over_all_pools; [0, 0, 1] before.

--- a/src/grpc/route_compiler.rs
+++ b/src/grpc/route_compiler.rs
@@ -67,7 +67,7 @@
 pub fn compile(pools: &[PoolConfig], configs: &[RouteConfig]) -> Result<(Routes, Vec<PoolSpec>), RouteError> {
     let mut routes = Routes::default();
     let mut classes: Vec<Vec<Rc<RequestClass>>> = vec![Vec::new(); pools.len()];
-    for config in configs {
+    for (number, config) in (0..).zip(configs) {
         let fault = |fault| RouteError::Fault { method: config.method.clone(), fault };
         let pool = pools.iter().position(|pool| pool.name == config.pool);
         let pool = pool.ok_or_else(|| fault(RouteFault::UnknownPool(config.pool.clone())))?;
@@ -77,7 +77,7 @@
         let route = Route {
             pool,
             class: class.clone(),
-            tenant: classes[pool].len() as u32,
+            tenant: number,
             kind: config.kind,
             idempotency,
             key_header,
@@ -183,3 +183,6 @@
         parent_slow_start: no_slow_start,
     }
 }
+
+#[cfg(test)]
+mod tests;
