Count a request's time from its arrival, by the kernel's receive timestamps

Callers saw: a request that lay unread (listen backlog, wait for a slot, behind another one, process not scheduled) was answered that much too late, and caches were told that its client waits longer than it did.

Cause: the time that a client states counted from the read.

Change: TimestampedStream reads with SO_TIMESTAMPNS, set on the listener (crate nix, no unsafe code here); Arrivals decides, without I/O, what it means: the last byte's time, if it lies after the last moment with nothing to read and the wall clock was not stepped; else the oldest that a new connection's bytes can be. HTTP/1.1 fronts and gRPC. Not HTTP/3 over QUIC, whose datagrams quinn reads.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Whether its times can be compared with those of the system's wall clock.
+    pub fn follows_system_time(&self) -> bool {
+        matches!(*self.source, Source::System(_))
+    }
+
     /// Advances a manual clock by `ms`. Has no effect on the system clock.
     pub fn advance(&self, ms: f64) {
         if let Source::Manual(time) = &*self.source {
--- a/src/grpc/call_driver.rs
+++ b/src/grpc/call_driver.rs
@@ -23,20 +23,26 @@
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 
+/// A call that a client has sent.
+pub struct ReceivedCall {
+    /// Its head, and the stream of its messages.
+    pub request: Request<RecvStream>,
+    /// The stream of its response.
+    pub respond: SendResponse<Bytes>,
+    /// When its head arrived, in Unix milliseconds.
+    pub arrived_ms: f64,
+}
+
 /// Forwards one call and sends its status.
-pub async fn drive_call(
-    front: Rc<GrpcFront>,
-    request: Request<RecvStream>,
-    mut respond: SendResponse<Bytes>,
-    client: IpAddr,
-) {
+pub async fn drive_call(front: Rc<GrpcFront>, call: ReceivedCall, client: IpAddr) {
+    let ReceivedCall { request, mut respond, arrived_ms } = call;
     let (head, body) = request.into_parts();
     if head.method != Method::POST || !is_grpc(&head.headers) {
         reject_non_grpc_request(&head.method, &mut respond);
         return front.count_not_grpc();
     }
     let mut response = ResponseStream::NotStarted(respond);
-    let answered = AssertUnwindSafe(answer_call(&front, &head, body, client, &mut response));
+    let answered = AssertUnwindSafe(answer_call(&front, &head, body, arrived_ms, client, &mut response));
     if answered.catch_unwind().await.is_err() {
         front.executor.count_panic("gRPC call");
         let status = LocalStatus::failed(Code::INTERNAL, "the proxy failed to handle the call");
@@ -49,10 +55,10 @@
     front: &Rc<GrpcFront>,
     head: &request::Parts,
     body: RecvStream,
+    received_ms: f64,
     client: IpAddr,
     response: &mut ResponseStream,
 ) {
-    let received_ms = front.now();
     let new_call = match parse_head(front, head, received_ms) {
         Ok(new_call) => new_call,
         Err(status) => {
--- a/src/grpc/server.rs
+++ b/src/grpc/server.rs
@@ -1,21 +1,20 @@
 //! Listener and client connections: HTTP/2 with prior knowledge (RFC 9113, section 3.3), with one task per
 //! connection and one per call. Protocol errors are handled by `h2`, which ends the stream or the connection.
 
-use super::call_driver::{drive_call, reject_for_memory, reserve_head_memory};
+use super::call_driver::{drive_call, reject_for_memory, reserve_head_memory, ReceivedCall};
 use super::front::GrpcFront;
 use crate::clock::duration_from_ms;
-use crate::wire::closable_listener::ClosableListener;
+use crate::wire::closable_listener::{Accepted, ClosableListener};
 use crate::wire::shutdown::GracefulShutdown;
+use crate::wire::timestamped_stream::TimestampedStream;
 use bytes::Bytes;
-use h2::server::SendResponse;
-use h2::RecvStream;
-use http::Request;
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
@@ -24,6 +23,8 @@
 const ACCEPT_RETRY_MS: u64 = 20;
 /// Interval of [`run_housekeeping`], in milliseconds.
 const HOUSEKEEPING_INTERVAL_MS: u64 = 100;
+/// The most calls of a connection that count as arrived together.
+const MAX_CALLS_AT_ONCE: usize = 256;
 /// Time without calls after which a connection to a backend is closed, in milliseconds.
 const UPSTREAM_IDLE_MS: f64 = 60_000.0;
 
@@ -65,9 +66,11 @@
             tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
             continue;
         };
-        match listener.accept().await {
+        match listener.accept(&front.executor.clock).await {
             None => return,
-            Some(Ok((stream, peer))) => spawn_connection(&front, stream, peer.ip(), &stop, slot),
+            Some(Ok(Accepted { stream, peer })) => {
+                spawn_connection(&front, stream, peer.ip(), &stop, slot);
+            }
             Some(Err(_)) => {
                 front.executor.with(|engine| engine.counters.accept_failures += 1);
                 tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
@@ -79,7 +82,7 @@
 /// Spawns the task of a client connection.
 fn spawn_connection(
     front: &Rc<GrpcFront>,
-    stream: TcpStream,
+    stream: TimestampedStream,
     peer: IpAddr,
     stop: &Rc<GracefulShutdown>,
     slot: OwnedSemaphorePermit,
@@ -121,33 +124,66 @@
     }
 }
 
+/// The arrival of the calls that a connection accepts.
+struct CallArrival {
+    /// When the oldest bytes arrived that were read since there was last no call to accept.
+    earliest_ms: Rc<Cell<f64>>,
+    /// The number of calls accepted since.
+    accepted: usize,
+}
+
+impl CallArrival {
+    fn new(earliest_ms: Rc<Cell<f64>>) -> Self {
+        Self { earliest_ms, accepted: 0 }
+    }
+
+    /// Polls for a call. What was read before belongs to earlier calls once there is none left to accept, and on a
+    /// connection that is never without one after [`MAX_CALLS_AT_ONCE`].
+    fn poll<T>(&mut self, poll_accept: impl FnOnce() -> Poll<T>) -> Poll<T> {
+        if self.accepted >= MAX_CALLS_AT_ONCE {
+            self.reset();
+        }
+        let accepted = poll_accept();
+        match accepted {
+            Poll::Ready(_) => self.accepted += 1,
+            Poll::Pending => self.reset(),
+        }
+        accepted
+    }
+
+    fn reset(&mut self) {
+        self.earliest_ms.set(f64::INFINITY);
+        self.accepted = 0;
+    }
+
+    /// When a call arrived that was accepted at `now_ms`, or a little earlier, in Unix milliseconds.
+    fn ms(&self, now_ms: f64) -> f64 {
+        self.earliest_ms.get().min(now_ms)
+    }
+}
+
 /// Spawns the task of a call, unless there is not enough memory for it.
-fn spawn_call(
-    front: &Rc<GrpcFront>,
-    request: Request<RecvStream>,
-    respond: SendResponse<Bytes>,
-    peer: IpAddr,
-    open_calls: &Rc<OpenCalls>,
-) {
+fn spawn_call(front: &Rc<GrpcFront>, call: ReceivedCall, peer: IpAddr, open_calls: &Rc<OpenCalls>) {
     // Before the task is spawned: the heads that arrive until it runs would add up.
-    let Some(reservation) = reserve_head_memory(front, &request) else {
-        return reject_for_memory(front, respond);
+    let Some(reservation) = reserve_head_memory(front, &call.request) else {
+        return reject_for_memory(front, call.respond);
     };
-    let (call, task_front) = (open_calls.track(), front.clone());
+    let (open_call, task_front) = (open_calls.track(), front.clone());
     front.executor.spawn("gRPC call", async move {
-        let (_call, _reservation) = (call, reservation);
-        drive_call(task_front, request, respond, peer).await;
+        let (_open_call, _reservation) = (open_call, reservation);
+        drive_call(task_front, call, peer).await;
     });
 }
 
 /// Serves a client connection until it ends.
 async fn serve(
     front: &Rc<GrpcFront>,
-    stream: TcpStream,
+    stream: TimestampedStream,
     peer: IpAddr,
     stop: &Rc<GracefulShutdown>,
 ) -> Result<(), h2::Error> {
-    let _ = stream.set_nodelay(true);
+    stream.set_nodelay();
+    let mut arrival = CallArrival::new(stream.earliest_arrival_ms());
     let limits = front.limits();
     let mut builder = h2::server::Builder::new();
     builder
@@ -168,10 +204,13 @@
         let idle = open_calls.count.get() == 0 && !shutting_down;
         tokio::select! {
             biased;
-            accepted = connection.accept() => match accepted {
+            accepted = poll_fn(|context| arrival.poll(|| connection.poll_accept(context))) => match accepted {
                 None => return Ok(()),
                 Some(Err(error)) => return Err(error),
-                Some(Ok((request, respond))) => spawn_call(front, request, respond, peer, &open_calls),
+                Some(Ok((request, respond))) => {
+                    let call = ReceivedCall { request, respond, arrived_ms: arrival.ms(front.now()) };
+                    spawn_call(front, call, peer, &open_calls);
+                }
             },
             () = stop.wait_until_begun(), if !shutting_down => {
                 shutting_down = true;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! The proxy's in-memory state, each part of bounded size: open requests, attempts in flight, connections to
 //! endpoints, slots of client connections, the endpoint list, maintenance calls and counters. Does no I/O.
 
+pub mod arrivals;
 pub mod attempts;
 pub mod client_slots;
 pub mod connections;
--- a/src/wire/client_connection.rs
+++ b/src/wire/client_connection.rs
@@ -1,13 +1,14 @@
 //! The task of a client's connection: reads requests one after another, answers each through its front or the
 //! engine, and closes the connection.
 
-use super::client_stream::{ClientStream, Received};
+use super::client_stream::{ArrivedRequest, ClientStream, Received};
 use super::connection_slots::ConnectionSlot;
 use super::front::{Disposition, Front};
 use super::http::{HttpRequest, HttpResponse};
 use super::http_codec::{ConnectionMemory, HttpCodec, Phase, RejectedRequest};
 use super::shutdown::{ConnectionGuard, GracefulShutdown};
 use super::submission::Submission;
+use super::timestamped_stream::TimestampedStream;
 use crate::clock::duration_from_ms;
 use crate::engine::executor::Executor;
 use crate::state::requests::{FinalResponse, IncomingRequest};
@@ -15,7 +16,6 @@
 use std::net::IpAddr;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -80,7 +80,7 @@
         front: Rc<dyn Front>,
         shutdown: Rc<GracefulShutdown>,
         slot: ConnectionSlot,
-        socket: TcpStream,
+        stream: TimestampedStream,
         peer: IpAddr,
     ) -> Self {
         let limits = front.limits();
@@ -89,7 +89,7 @@
             ConnectionMemory { memory: executor.request_memory.clone(), on_displaced: on_displaced.clone() };
         let memory = Some(memory).filter(|_| !limits.exempt_from_request_memory);
         let codec = HttpCodec::new(executor.clock.clone(), limits.body_bytes).with_memory(memory);
-        let stream = ClientStream::new(socket, codec, !limits.one_at_a_time);
+        let stream = ClientStream::new(stream, codec, !limits.one_at_a_time);
         Self { executor, front, shutdown, slot, stream, peer, on_displaced }
     }
 
@@ -120,12 +120,14 @@
         // its slot.
         let mut first_deadline = Some(self.executor.clock.now() + self.front.limits().first_ms);
         loop {
-            let request = match self.next_request(first_deadline.take()).await {
+            let ArrivedRequest { request, arrived_ms } = match self.next_request(first_deadline.take()).await
+            {
                 Ok(request) => request,
                 Err(end) => return end,
             };
             self.slot.set_busy();
-            let Some(TimedResponse { mut response, write_ms }) = self.respond_contained(&request).await
+            let Some(TimedResponse { mut response, write_ms }) =
+                self.respond_contained(&request, arrived_ms).await
             else {
                 return ConnectionEnd::Disconnected;
             };
@@ -154,7 +156,7 @@
 
     /// The next request, or how the connection ends. A client that is too slow or sends a malformed request
     /// gets an error response first.
-    async fn next_request(&mut self, deadline: Option<f64>) -> Result<HttpRequest, ConnectionEnd> {
+    async fn next_request(&mut self, deadline: Option<f64>) -> Result<ArrivedRequest, ConnectionEnd> {
         match self.receive(deadline).await {
             Ok(Received::Request(request)) => Ok(request),
             Ok(Received::Rejected(RejectedRequest(status))) => {
@@ -237,8 +239,8 @@
     }
 
     /// The response to a request, an error if its handling panics; `None` where the client has disconnected.
-    async fn respond_contained(&mut self, request: &HttpRequest) -> Option<TimedResponse> {
-        let response = AssertUnwindSafe(self.respond(request)).catch_unwind().await;
+    async fn respond_contained(&mut self, request: &HttpRequest, arrived_ms: f64) -> Option<TimedResponse> {
+        let response = AssertUnwindSafe(self.respond(request, arrived_ms)).catch_unwind().await;
         response.unwrap_or_else(|_| {
             self.executor.count_panic("client request");
             let write_ms = self.front.limits().write_ms;
@@ -246,11 +248,11 @@
         })
     }
 
-    /// The response to a request; `None` where the client has disconnected.
-    async fn respond(&mut self, request: &HttpRequest) -> Option<TimedResponse> {
+    /// The response to a request, whose time counts from its arrival; `None` where the client has disconnected.
+    async fn respond(&mut self, request: &HttpRequest, arrived_ms: f64) -> Option<TimedResponse> {
         let (executor, front) = (self.executor.clone(), self.front.clone());
         let mut write_ms = front.limits().write_ms;
-        let (request, context) = match front.interpret(&executor, request, executor.clock.now()) {
+        let (request, context) = match front.interpret(&executor, request, arrived_ms) {
             Disposition::Respond(response) => return Some(TimedResponse { response, write_ms }),
             Disposition::Forward(request, context) => {
                 (IncomingRequest { client: Some(self.peer), ..*request }, context)
--- a/src/wire/client_stream.rs
+++ b/src/wire/client_stream.rs
@@ -3,12 +3,12 @@
 
 use super::http::{HttpRequest, HttpResponse};
 use super::http_codec::{HttpCodec, Phase, RejectedRequest, MAX_HEAD, MAX_INLINE};
+use super::timestamped_stream::TimestampedStream;
 use crate::clock::duration_from_ms;
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use std::future::Future;
 use std::io;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder, Framed};
 
@@ -25,11 +25,20 @@
 /// Size of the buffer for bytes that are read without being decoded.
 const READ_CHUNK: usize = 2_048;
 
+/// A request with its arrival.
+#[derive(Debug)]
+pub struct ArrivedRequest {
+    /// The request.
+    pub request: HttpRequest,
+    /// When its last byte arrived, in Unix milliseconds.
+    pub arrived_ms: f64,
+}
+
 /// The result of waiting for a request.
 #[derive(Debug)]
 pub enum Received {
     /// A request.
-    Request(HttpRequest),
+    Request(ArrivedRequest),
     /// A malformed request, after which nothing more is read.
     Rejected(RejectedRequest),
     /// The client closed or shut down its side, or the connection failed.
@@ -39,7 +48,7 @@
 /// The byte stream of a client's connection.
 #[derive(Debug)]
 pub struct ClientStream {
-    framed: Framed<TcpStream, HttpCodec>,
+    framed: Framed<TimestampedStream, HttpCodec>,
     /// Whether clients may pipeline requests (RFC 9112, section 9.3.2).
     pipelining: bool,
     /// Whether bytes that arrived ahead of a response exceeded the limit, so that some were discarded.
@@ -54,8 +63,8 @@
     /// Bytes that a client sends ahead of a response beyond [`MAX_BYTES_AHEAD`] are discarded. Without
     /// `pipelining`, the connection is closed after that response; with it, after the response to the last
     /// request that is buffered completely.
-    pub fn new(stream: TcpStream, codec: HttpCodec, pipelining: bool) -> Self {
-        let _ = stream.set_nodelay(true);
+    pub fn new(stream: TimestampedStream, codec: HttpCodec, pipelining: bool) -> Self {
+        stream.set_nodelay();
         Self {
             framed: Framed::with_capacity(stream, codec, BUFFER_BYTES),
             pipelining,
@@ -67,12 +76,20 @@
     /// Waits for the next request. Cancel safe.
     pub async fn next(&mut self) -> Received {
         match self.framed.next().await {
-            Some(Ok(Ok(request))) => Received::Request(request),
+            Some(Ok(Ok(request))) => Received::Request(self.with_arrival(request)),
             Some(Ok(Err(rejected))) => Received::Rejected(rejected),
             None | Some(Err(_)) => Received::End,
         }
     }
 
+    /// Adds its arrival to a request that has just been decoded.
+    fn with_arrival(&mut self, request: HttpRequest) -> ArrivedRequest {
+        let unread = self.framed.read_buffer().len();
+        let arrived_ms = self.framed.get_mut().arrival_of_request(unread);
+        // Bytes of a request were read, so that its arrival is known.
+        ArrivedRequest { request, arrived_ms: arrived_ms.unwrap_or_else(|| self.framed.codec().now()) }
+    }
+
     /// The next request if it has arrived by now, for a caller whose wait has ended.
     pub async fn next_now(&mut self) -> Option<Received> {
         // Yields, so that the reactor polls the socket for bytes that arrived since its last poll.
--- a/src/wire/http_codec.rs
+++ b/src/wire/http_codec.rs
@@ -96,6 +96,11 @@
         Ok(())
     }
 
+    /// The current time, in Unix milliseconds.
+    pub fn now(&self) -> f64 {
+        self.clock.now()
+    }
+
     /// The current phase, and when it began, in Unix milliseconds.
     pub fn phase(&self) -> (Phase, f64) {
         (self.phase, self.phase_started_at)
--- a/src/wire/listener.rs
+++ b/src/wire/listener.rs
@@ -1,7 +1,7 @@
 //! The TCP listener of a front: accepts connections, and serves each in its own task.
 
 use super::client_connection::ClientConnection;
-use super::closable_listener::ClosableListener;
+use super::closable_listener::{Accepted, ClosableListener};
 use super::connection_slots::ConnectionSlots;
 use super::front::Front;
 use super::shutdown::GracefulShutdown;
@@ -21,8 +21,8 @@
     shutdown: Rc<GracefulShutdown>,
 ) {
     let slots = ConnectionSlots::new(front.limits().connections);
-    while let Some(accepted) = listener.accept().await {
-        let Ok((socket, peer)) = accepted else {
+    while let Some(accepted) = listener.accept(&executor.clock).await {
+        let Ok(Accepted { stream, peer }) = accepted else {
             executor.with(|engine| engine.counters.accept_failures += 1);
             sleep(duration_from_ms(ACCEPT_RETRY_MS)).await;
             continue;
@@ -31,7 +31,7 @@
         let guard = shutdown.track_connection();
         let slot = slots.acquire(&executor).await;
         let (front, shutdown) = (front.clone(), shutdown.clone());
-        let connection = ClientConnection::new(executor.clone(), front, shutdown, slot, socket, peer.ip());
+        let connection = ClientConnection::new(executor.clone(), front, shutdown, slot, stream, peer.ip());
         executor.spawn("client connection", connection.serve(guard));
     }
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -25,5 +25,7 @@
 pub mod platform;
 pub mod platform_path;
 pub mod shutdown;
+
 pub mod signed_urls;
 pub mod submission;
+pub mod timestamped_stream;
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -4,6 +4,7 @@
 mod stand_ins;
 
 use edge_proxy::clock::Clock;
+use edge_proxy::state::arrivals::BacklogEmpty;
 use edge_proxy::state::requests::IncomingRequest;
 use edge_proxy::wire::client_stream::{ClientStream, Received, MAX_BYTES_AHEAD};
 use edge_proxy::wire::closable_listener::{Backlog, ClosableListener};
@@ -11,6 +12,7 @@
 use edge_proxy::wire::http_codec::HttpCodec;
 use edge_proxy::wire::listener::accept;
 use edge_proxy::wire::platform::{limits, Platform};
+use edge_proxy::wire::timestamped_stream::{moment, TimestampedStream};
 use socket2::SockRef;
 use stand_ins::*;
 use std::io::{Read, Write};
@@ -35,6 +37,13 @@
     start_proxy_with_limits(name, limits(400)).await
 }
 
+/// A server's side of a connection that did not wait in a backlog.
+fn timestamped(server: TcpStream) -> TimestampedStream {
+    let clock = Clock::manual(START_MS);
+    let backlog = BacklogEmpty::at(moment(&clock));
+    TimestampedStream::new(server, clock, backlog)
+}
+
 fn get(id: u64) -> String {
     format!(
         "GET {CLIP} HTTP/1.1\r\nHost: o\r\nX-Call-Id: {id:016x}\r\nX-Patience-Ms: 1500\r\nX-Set: 17\r\nX-Heap-Kb: 412.5\r\n\r\n"
@@ -342,7 +351,7 @@
     run(async {
         let (mut client, server) = connected_pair().await;
         let codec = HttpCodec::new(Clock::manual(START_MS), 100);
-        let mut stream = ClientStream::new(server, codec, true);
+        let mut stream = ClientStream::new(timestamped(server), codec, true);
         let length = get(1).len();
         let sent: String = (1..=4 * (MAX_BYTES_AHEAD / length) as u64).map(get).collect();
         client.write_all(sent.as_bytes()).await.unwrap();
@@ -352,7 +361,7 @@
         loop {
             let Received::Request(request) = stream.next().await else { panic!("no request") };
             received += 1;
-            assert_eq!(request.single_value("x-call-id"), Ok(Some(&*format!("{received:016x}"))));
+            assert_eq!(request.request.single_value("x-call-id"), Ok(Some(&*format!("{received:016x}"))));
             stream.disconnected().await;
             if stream.is_overrun() {
                 break;
@@ -447,7 +456,7 @@
         // A second descriptor of the same socket.
         let duplicate = server.as_fd().try_clone_to_owned().unwrap();
         let codec = HttpCodec::new(proxy.clock.clone(), 100);
-        let _stream = ClientStream::new(server, codec, false);
+        let _stream = ClientStream::new(timestamped(server), codec, false);
         assert!(SockRef::from(&duplicate).tcp_nodelay().unwrap());
     });
 }
