--- a/src/admission/bounds.rs
+++ b/src/admission/bounds.rs
@@ -1,7 +1,8 @@
 //! The bounds of admission control, and an upper bound on its memory that follows from them.
 
 use super::decision::{ClientKey, TenantId};
-use super::fair_queue::{InFlight, QueuedRequest, EXPIRY_BYTES};
+use super::fair_queue::{QueuedRequest, EXPIRY_BYTES};
+use super::in_flight::InFlight;
 use super::reservations::{ReservationTable, SLOT_MS};
 use super::round_robin::{ClientQueue, QueueKey, TenantQueue};
 use crate::RequestId;
--- a/src/admission/fair_queue.rs
+++ b/src/admission/fair_queue.rs
@@ -27,6 +27,7 @@
     AdmissionCounters, AdmissionDecision, Arrival, ClientKey, Completion, ExpiredRequest, ShedReason,
     TenantId,
 };
+use super::in_flight::{InFlight, InFlightRequests};
 use super::reservations::{Reservation, ReservationRequest, ReservationTable, SLOT_MS};
 use super::round_robin::{ExpectedShare, RoundRobin, Weights};
 use crate::RequestId;
@@ -62,24 +63,12 @@
     sequence: u64,
 }
 
-/// An admitted request.
-#[derive(Clone, Copy, Debug)]
-pub struct InFlight {
-    admitted_at_ms: f64,
-    client: ClientKey,
-    /// Whether it was admitted into the share of light clients.
-    in_light_share: bool,
-}
-
 /// Queues requests and makes admission decisions. See the [module documentation](self).
 #[derive(Debug)]
 pub struct FairQueue {
     bounds: AdmissionBounds,
     limit: ConcurrencyLimit,
-    in_flight: AHashMap<RequestId, InFlight>,
-    in_flight_by_client: AHashMap<ClientKey, u32>,
-    /// The number of requests in flight that were admitted into the share of light clients.
-    light_in_flight: usize,
+    in_flight: InFlightRequests,
     queued: AHashMap<RequestId, QueuedRequest>,
     queued_bytes: usize,
     /// The number of requests that have been queued.
@@ -102,9 +91,7 @@
         Self {
             bounds,
             limit: ConcurrencyLimit::new(limit),
-            in_flight: AHashMap::new(),
-            in_flight_by_client: AHashMap::new(),
-            light_in_flight: 0,
+            in_flight: InFlightRequests::default(),
             queued: AHashMap::new(),
             queued_bytes: 0,
             last_sequence: 0,
@@ -133,7 +120,7 @@
 
     /// Whether a request is admitted and in flight.
     pub fn is_in_flight(&self, id: RequestId) -> bool {
-        self.in_flight.contains_key(&id)
+        self.in_flight.contains(id)
     }
 
     /// Whether a request is queued.
@@ -163,7 +150,7 @@
 
     /// Decides on a newly received request.
     pub fn submit(&mut self, now_ms: f64, arrival: Arrival) -> AdmissionDecision {
-        if self.queued.contains_key(&arrival.id) || self.in_flight.contains_key(&arrival.id) {
+        if self.queued.contains_key(&arrival.id) || self.in_flight.contains(arrival.id) {
             return AdmissionDecision::Duplicate;
         }
         self.counters.reservations_expired += self.reservations.expire(now_ms);
@@ -223,29 +210,18 @@
     }
 
     fn record_in_flight(&mut self, now_ms: f64, id: RequestId, client: ClientKey, in_light_share: bool) {
-        let request = InFlight { admitted_at_ms: now_ms, client, in_light_share };
-        self.in_flight.insert(id, request);
-        self.index_in_flight(&request);
-    }
-
-    /// Adds a request of the table of admitted requests to all indexes.
-    fn index_in_flight(&mut self, request: &InFlight) {
-        *self.in_flight_by_client.entry(request.client).or_default() += 1;
-        self.light_in_flight += usize::from(request.in_light_share);
+        self.in_flight.insert(id, InFlight { admitted_at_ms: now_ms, client, in_light_share });
     }
 
     /// Builds all indexes anew from the tables of queued and admitted requests, after a panic that may have left
     /// them inconsistent. Reservations are dropped.
     pub fn rebuild_indexes(&mut self) {
-        self.in_flight_by_client.clear();
-        self.light_in_flight = 0;
+        self.in_flight.rebuild_counts();
         self.queued_bytes = 0;
         self.reserved_queue.clear();
         self.expiries.clear();
         self.round_robin = RoundRobin::new(self.round_robin.weights().clone());
         self.reservations = ReservationTable::new(self.bounds.max_reservations);
-        let in_flight: Vec<InFlight> = self.in_flight.values().copied().collect();
-        in_flight.iter().for_each(|request| self.index_in_flight(request));
         let mut queued: Vec<_> = self.queued.iter().map(|(id, request)| (*id, *request)).collect();
         queued.sort_unstable_by_key(|(_, request)| request.sequence);
         queued.iter().for_each(|(id, request)| self.index_queued(*id, request));
@@ -254,7 +230,7 @@
     /// Forgets a request, whether it is queued or in flight.
     pub fn forget(&mut self, id: RequestId) {
         self.queued.remove(&id);
-        self.in_flight.remove(&id);
+        self.in_flight.remove(id);
         self.rebuild_indexes();
     }
 
@@ -302,7 +278,7 @@
 
     /// Whether a client has no request in flight or in the round-robin queues.
     fn is_light_client(&self, client: ClientKey) -> bool {
-        !self.in_flight_by_client.contains_key(&client) && self.round_robin.client_depth(client) == 0
+        self.in_flight.count_of(client) == 0 && self.round_robin.client_depth(client) == 0
     }
 
     fn has_capacity(&self) -> bool {
@@ -313,7 +289,7 @@
     fn has_fair_capacity(&self) -> bool {
         let capacity = self.limit.capacity();
         let light_share = (self.bounds.light_client_share * capacity as f64).ceil() as usize;
-        let fair_in_flight = self.in_flight.len() - self.light_in_flight;
+        let fair_in_flight = self.in_flight.len() - self.in_flight.light();
         self.has_capacity() && fair_in_flight + light_share.min(capacity - 1) < capacity
     }
 
@@ -396,14 +372,7 @@
     /// Handles the end of an admitted request. Returns the queued requests to forward to the engine now, in
     /// order.
     pub fn complete(&mut self, now_ms: f64, id: RequestId, completion: Completion) -> Vec<RequestId> {
-        if let Some(InFlight { admitted_at_ms, client, in_light_share }) = self.in_flight.remove(&id) {
-            self.light_in_flight -= usize::from(in_light_share);
-            if let Some(count) = self.in_flight_by_client.get_mut(&client) {
-                *count -= 1;
-                if *count == 0 {
-                    self.in_flight_by_client.remove(&client);
-                }
-            }
+        if let Some(InFlight { admitted_at_ms, .. }) = self.in_flight.remove(id) {
             self.limit.record_completion(
                 now_ms,
                 now_ms - admitted_at_ms,
@@ -455,8 +424,7 @@
 
     /// An estimate of the heap memory in use, excluding request bodies, in bytes.
     pub fn heap_bytes(&self) -> usize {
-        self.in_flight.capacity() * (size_of::<(RequestId, InFlight)>() + 1)
-            + self.in_flight_by_client.capacity() * (size_of::<(ClientKey, u32)>() + 1)
+        self.in_flight.heap_bytes()
             + self.queued.capacity() * (size_of::<(RequestId, QueuedRequest)>() + 1)
             + self.round_robin.heap_bytes()
             + self.reserved_queue.capacity() * size_of::<RequestId>()
--- a/src/admission/fair_queue/tests.rs
+++ b/src/admission/fair_queue/tests.rs
@@ -97,7 +97,7 @@
     let mut queued: Vec<RequestId> = queue.queued.keys().copied().collect();
     queued.sort_unstable();
     assert_eq!(queued, reference.queued.keys().copied().collect::<Vec<_>>(), "queued requests");
-    let mut in_flight: Vec<RequestId> = queue.in_flight.keys().copied().collect();
+    let mut in_flight: Vec<RequestId> = queue.in_flight.iter().map(|(id, _)| id).collect();
     in_flight.sort_unstable();
     assert_eq!(in_flight, reference.in_flight.keys().copied().collect::<Vec<_>>(), "requests in flight");
     assert!(queue.in_flight.len() <= CONCURRENCY_LIMIT, "too many requests are in flight");
@@ -107,12 +107,13 @@
     let expiries = queue.queued.iter().map(|(id, request)| (request.expiry_key, *id));
     assert_eq!(queue.expiries, expiries.collect::<BTreeSet<_>>(), "expiries");
 
-    let light = queue.in_flight.values().filter(|request| request.in_light_share).count();
-    assert_eq!(queue.light_in_flight, light, "requests in the share of light clients");
+    let light = queue.in_flight.iter().filter(|(_, request)| request.in_light_share).count();
+    assert_eq!(queue.in_flight.light(), light, "requests in the share of light clients");
+    let clients: BTreeSet<ClientKey> = reference.in_flight.values().copied().collect();
+    assert_eq!(queue.in_flight.clients(), clients.len(), "clients with requests in flight");
     for client in 0..CLIENTS {
         let count = reference.in_flight.values().filter(|other| **other == client).count() as u32;
-        let counted = queue.in_flight_by_client.get(&client).copied();
-        assert_eq!(counted, Some(count).filter(|count| *count > 0), "in flight of client {client}");
+        assert_eq!(queue.in_flight.count_of(client), count, "in flight of client {client}");
     }
 
     let in_queue = |wanted: Queue| queue.queued.iter().filter(move |(_, request)| request.queue == wanted);
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -8,6 +8,7 @@
 //! | [`fair_queue`] | the decision: admit, queue or shed | none |
 //! | [`decision`] | inputs and results of decisions | none |
 //! | [`round_robin`] | the order in which queued requests are released | none |
+//! | [`in_flight`] | the admitted requests, counted by client | none |
 //! | [`concurrency_limit`] | the maximum number of requests in flight | none |
 //! | [`reservations`] | capacity reserved for retries of shed requests | none |
 //! | [`bounds`] | the bounds, and the maximum memory that follows from them | none |
@@ -23,6 +24,7 @@
 pub mod control;
 pub mod decision;
 pub mod fair_queue;
+pub mod in_flight;
 pub mod metrics;
 pub mod reservations;
 pub mod round_robin;
