Log: write lines from a thread of their own, and drop them rather than hold up requests

Callers saw: once the pipe of standard error was full and nobody read it, no request got an answer.

Cause: the thread that serves requests wrote each log line, and a panic's message, itself; the write waits.

--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -61,9 +61,9 @@
             rules: self.rules,
         };
         let subsystems = SubsystemConfigs::read(&files, config.limits.max_descriptors)?;
-        logging::start();
+        let log = logging::start();
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(CliError::Runtime)?;
-        Ok(LocalSet::new().block_on(&runtime, serve(config, subsystems))?)
+        Ok(LocalSet::new().block_on(&runtime, serve(config, subsystems, log.metrics()))?)
     }
 }
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -12,13 +12,17 @@
 use super::subsystems::create_subsystems;
 use super::write_log::WriteLog;
 use crate::clock::Clock;
-use crate::engine::executor::Executor;
+use crate::engine::executor::{Executor, MetricsSource};
 use crate::wire::cache_connection::CacheDriver;
 use std::rc::Rc;
 
 /// Serves until SIGTERM or SIGINT, then returns once all accepted requests have been answered or the drain
-/// deadline has passed.
-pub async fn serve(mut config: Config, configs: SubsystemConfigs) -> Result<(), ServeError> {
+/// deadline has passed. `log_metrics` are those of the log.
+pub async fn serve(
+    mut config: Config,
+    configs: SubsystemConfigs,
+    log_metrics: MetricsSource,
+) -> Result<(), ServeError> {
     let inherited_listener = inherit::listener().map_err(ServeError::InheritedSocket)?;
     config.handed_over = inherited_listener.is_some();
     let clock = Clock::system();
@@ -36,6 +40,7 @@
         let write_log = WriteLog::new(executor.clock.clone(), &config.name);
         executor.with(|engine| engine.set_shared_writes(Box::new(write_log)));
     }
+    executor.add_metrics(log_metrics);
     let mut signals = Signals::install()?;
     let context = Context::new(config, executor, seed, budget);
     start(&mut subsystems, &context).await?;
--- a/tests/arrivals.rs
+++ b/tests/arrivals.rs
@@ -42,8 +42,7 @@
             text = text.replace(&format!("127.0.0.1:{port}"), &cache.address.to_string());
             caches.push(cache);
         }
-        let mut proxy = RunningProxy::start_with_config(&text, "arrivals.json", 256);
-        proxy.discard_log();
+        let proxy = RunningProxy::start_with_config(&text, "arrivals.json", 256);
         let address = SocketAddr::from(([127, 0, 0, 1], proxy.port));
         let mut open = Client::connect(address).await;
         open.write(get(1).as_bytes()).await;
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -59,8 +59,7 @@
         std::fs::write(dir.join("subsystem.json"), text).unwrap();
         let file = dir.join("subsystem.json");
         let arguments = [option, file.to_str().unwrap()];
-        let mut process = RunningProxy::start_inherited(&listener, &dir.join("config.json"), &arguments);
-        process.discard_log();
+        let process = RunningProxy::start_inherited(&listener, &dir.join("config.json"), &arguments);
         Self { process, platform, subsystem: own_address, admin, dir, _fleet: fleet }
     }
 
--- a/tests/stand_ins/running.rs
+++ b/tests/stand_ins/running.rs
@@ -97,13 +97,6 @@
         true
     }
 
-    /// Reads and drops all further log lines, so that the process never waits for a reader.
-    pub fn discard_log(&mut self) {
-        let empty = BufReader::new(Box::new(std::io::empty()) as Box<dyn Read + Send>);
-        let mut log = std::mem::replace(&mut self.log, empty);
-        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-    }
-
     /// The process id.
     pub fn pid(&self) -> i32 {
         self.child.id() as i32
