--- a/src/lifecycle/config.rs
+++ b/src/lifecycle/config.rs
@@ -19,6 +19,8 @@
 /// The share of the memory limit that the requests of clients may use. The program, its other state and the
 /// responses need the rest.
 const REQUEST_MEMORY_SHARE: f64 = 0.25;
+/// The memory for requests of a process without a memory limit, in bytes.
+const DEFAULT_REQUEST_MEMORY_BYTES: usize = 64 << 20;
 /// Default limit on file descriptors.
 const DEFAULT_DESCRIPTORS: usize = 1_024;
 /// Environment variable that overrides the admin address of the file, so that the old and the new process of
@@ -77,10 +79,11 @@
 }
 
 impl ProcessLimits {
-    /// The memory for the requests that clients send, in bytes, if the process has a memory limit.
-    pub fn request_memory_bytes(&self) -> Option<usize> {
+    /// The memory for the requests that clients send, in bytes.
+    pub fn request_memory_bytes(&self) -> usize {
         let limit_mb = self.max_memory_mb.filter(|limit_mb| *limit_mb > 0.0);
-        limit_mb.map(|limit_mb| (limit_mb * BYTES_PER_MB * REQUEST_MEMORY_SHARE) as usize)
+        let of_limit = |limit_mb| (limit_mb * BYTES_PER_MB * REQUEST_MEMORY_SHARE) as usize;
+        limit_mb.map_or(DEFAULT_REQUEST_MEMORY_BYTES, of_limit)
     }
 }
 
--- a/src/lifecycle/serve.rs
+++ b/src/lifecycle/serve.rs
@@ -33,9 +33,7 @@
     let seed = config.seed().map_err(ServeError::field("seed"))?;
     let mut subsystems = create_subsystems(&config, configs, inherited_listener)?;
     let executor = Executor::new(clock, engine, CacheDriver);
-    if let Some(max_bytes) = config.limits.request_memory_bytes() {
-        executor.request_memory.set_max_bytes(max_bytes);
-    }
+    executor.request_memory.set_max_bytes(config.limits.request_memory_bytes());
     if config.handed_over {
         let write_log = WriteLog::new(executor.clock.clone(), &config.name);
         executor.with(|engine| engine.set_shared_writes(Box::new(write_log)));
