--- a/src/admission/bounds.rs
+++ b/src/admission/bounds.rs
@@ -4,10 +4,13 @@
 use super::fair_queue::{QueuedRequest, EXPIRY_BYTES};
 use super::in_flight::InFlight;
 use super::reservations::{ReservationTable, SLOT_MS};
-use super::round_robin::{ClientQueue, QueueKey, TenantQueue};
+use super::round_robin::{ClientQueue, ClientQueues, TenantQueue};
 use crate::RequestId;
 use std::mem::size_of;
 
+/// The most places in a client's list of further queues for each of its requests. A list has at least four
+/// places, and at most twice as many as it needs.
+const OTHER_QUEUES_FACTOR: usize = 2;
 /// The minimum capacity of a non-empty `VecDeque` of small items.
 const MIN_DEQUE_CAPACITY: usize = 4;
 
@@ -44,8 +47,8 @@
     pub fn max_heap_bytes(&self, max_in_flight: usize) -> usize {
         let queued = self.max_queued;
         table_bytes(queued, size_of::<(RequestId, QueuedRequest)>())
-            + table_bytes(queued, size_of::<(QueueKey, ClientQueue)>())
-            + table_bytes(queued, size_of::<(ClientKey, usize)>())
+            + table_bytes(queued, size_of::<(ClientKey, ClientQueues)>())
+            + queued * OTHER_QUEUES_FACTOR * size_of::<ClientQueue>()
             + queued * deque_bytes(1, size_of::<RequestId>())
             + table_bytes(queued, size_of::<(TenantId, TenantQueue)>())
             + queued * deque_bytes(1, size_of::<ClientKey>())
--- a/src/admission/round_robin.rs
+++ b/src/admission/round_robin.rs
@@ -34,15 +34,70 @@
     }
 }
 
-/// A queue's key. A client has a queue of its own at each tenant.
-pub type QueueKey = (TenantId, ClientKey);
-
 /// The queued requests of one client at one tenant, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct ClientQueue {
+    tenant: TenantId,
     requests: VecDeque<RequestId>,
 }
 
+/// The queues of one client, one for each tenant at which it has queued requests. Most clients have one.
+#[derive(Clone, Debug, Default)]
+pub struct ClientQueues {
+    first: ClientQueue,
+    others: Vec<ClientQueue>,
+}
+
+impl ClientQueues {
+    fn iter(&self) -> impl Iterator<Item = &ClientQueue> {
+        std::iter::once(&self.first).chain(&self.others)
+    }
+
+    /// The number of requests at a tenant.
+    fn depth_at(&self, tenant: TenantId) -> usize {
+        self.iter().find(|queue| queue.tenant == tenant).map_or(0, |queue| queue.requests.len())
+    }
+
+    fn at_mut(&mut self, tenant: TenantId) -> Option<&mut ClientQueue> {
+        let mut queues = std::iter::once(&mut self.first).chain(&mut self.others);
+        queues.find(|queue| queue.tenant == tenant)
+    }
+
+    /// Adds a request. Returns whether it is the only one at its tenant.
+    fn push(&mut self, tenant: TenantId, id: RequestId) -> bool {
+        if self.first.requests.is_empty() {
+            self.first.tenant = tenant;
+        }
+        match self.at_mut(tenant) {
+            Some(queue) => {
+                queue.requests.push_back(id);
+                queue.requests.len() == 1
+            }
+            None => {
+                self.others.push(ClientQueue { tenant, requests: VecDeque::from([id]) });
+                true
+            }
+        }
+    }
+
+    /// Drops the queues without requests. Returns whether there is no other.
+    fn drop_empty(&mut self) -> bool {
+        self.others.retain(|queue| !queue.requests.is_empty());
+        if self.first.requests.is_empty() {
+            match self.others.pop() {
+                Some(other) => self.first = other,
+                None => return true,
+            }
+        }
+        false
+    }
+
+    fn heap_bytes(&self) -> usize {
+        let requests: usize = self.iter().map(|queue| queue.requests.capacity()).sum();
+        requests * size_of::<RequestId>() + self.others.capacity() * size_of::<ClientQueue>()
+    }
+}
+
 /// Scheduling state of a tenant: its clients with queued requests, its deficit counter and its number of
 /// queued requests.
 #[derive(Clone, Debug, Default)]
@@ -67,10 +122,8 @@
 #[derive(Debug)]
 pub struct RoundRobin {
     weights: Weights,
-    /// The queues that are not empty.
-    queues: AHashMap<QueueKey, ClientQueue>,
-    /// The number of queued requests of each client, over all tenants.
-    client_depths: AHashMap<ClientKey, usize>,
+    /// The clients with queued requests.
+    clients: AHashMap<ClientKey, ClientQueues>,
     tenants: AHashMap<TenantId, TenantQueue>,
     /// The tenants with queued requests, each once.
     tenant_ring: VecDeque<TenantId>,
@@ -79,13 +132,7 @@
 impl RoundRobin {
     /// Creates an empty scheduler.
     pub fn new(weights: Weights) -> Self {
-        Self {
-            weights,
-            queues: AHashMap::new(),
-            client_depths: AHashMap::new(),
-            tenants: AHashMap::new(),
-            tenant_ring: VecDeque::new(),
-        }
+        Self { weights, clients: AHashMap::new(), tenants: AHashMap::new(), tenant_ring: VecDeque::new() }
     }
 
     /// Replaces the weights. They apply from the next round; queued requests keep their place.
@@ -104,12 +151,12 @@
 
     /// The number of queued requests of `client`, over all tenants.
     pub fn client_depth(&self, client: ClientKey) -> usize {
-        self.client_depths.get(&client).copied().unwrap_or(0)
+        self.clients.get(&client).map_or(0, |queues| queues.iter().map(|queue| queue.requests.len()).sum())
     }
 
     /// The number of queued requests of `client` at `tenant`.
     pub fn queue_depth(&self, client: ClientKey, tenant: TenantId) -> usize {
-        self.queues.get(&(tenant, client)).map_or(0, |queue| queue.requests.len())
+        self.clients.get(&client).map_or(0, |queues| queues.depth_at(tenant))
     }
 
     /// The number of queued requests of `tenant`.
@@ -130,7 +177,7 @@
         let weight = self.weights.of(tenant);
         let joining_weight = if self.tenant_ring.contains(&tenant) { 0.0 } else { weight };
         let clients = self.tenants.get(&tenant).map_or(0, |queue| queue.client_ring.len())
-            + usize::from(!self.queues.contains_key(&(tenant, client)));
+            + usize::from(self.queue_depth(client, tenant) == 0);
         ExpectedShare {
             tenant: weight / (queued_weight + joining_weight).max(f64::MIN_POSITIVE),
             clients: clients.max(1),
@@ -139,10 +186,7 @@
 
     /// Queues a request.
     pub fn push(&mut self, client: ClientKey, tenant: TenantId, id: RequestId) {
-        let queue = self.queues.entry((tenant, client)).or_default();
-        let is_first_of_client = queue.requests.is_empty();
-        queue.requests.push_back(id);
-        *self.client_depths.entry(client).or_default() += 1;
+        let is_first_of_client = self.clients.entry(client).or_default().push(tenant, id);
         let tenant_queue = self.tenants.entry(tenant).or_default();
         if tenant_queue.queued_count == 0 {
             self.tenant_ring.push_back(tenant);
@@ -185,14 +229,15 @@
     fn pop_from(&mut self, tenant: TenantId) -> RequestId {
         let tenant_queue = self.tenants.get_mut(&tenant).expect("a tenant in the ring has a queue");
         let client = tenant_queue.client_ring.pop_front().expect("a tenant in the ring has clients");
-        let queue = self.queues.get_mut(&(tenant, client)).expect("a client in a ring has a queue");
+        let queues = self.clients.get_mut(&client).expect("a client in a ring has queues");
+        let queue = queues.at_mut(tenant).expect("a client in a tenant's ring has a queue there");
         let id = queue.requests.pop_front().expect("a client in a ring has requests");
         tenant_queue.deficit -= REQUEST_COST;
         tenant_queue.queued_count -= 1;
-        if queue.requests.is_empty() {
-            self.queues.remove(&(tenant, client));
-        } else {
+        if !queue.requests.is_empty() {
             tenant_queue.client_ring.push_back(client);
+        } else if queues.drop_empty() {
+            self.clients.remove(&client);
         }
         if tenant_queue.client_ring.is_empty() {
             self.tenants.remove(&tenant);
@@ -200,22 +245,20 @@
         } else if tenant_queue.deficit < REQUEST_COST {
             self.tenant_ring.rotate_left(1);
         }
-        self.reduce_client_depth(client);
         id
     }
 
     /// Removes a queued request at any position, because its client disconnected or it expired. Does nothing if
     /// it is not queued.
     pub fn remove(&mut self, client: ClientKey, tenant: TenantId, id: RequestId) {
-        let key = (tenant, client);
-        let Some(queue) = self.queues.get_mut(&key) else { return };
+        let Some(queues) = self.clients.get_mut(&client) else { return };
+        let Some(queue) = queues.at_mut(tenant) else { return };
         let Some(position) = queue.requests.iter().position(|other_id| *other_id == id) else { return };
         queue.requests.remove(position);
         let is_last_of_client = queue.requests.is_empty();
-        if is_last_of_client {
-            self.queues.remove(&key);
+        if is_last_of_client && queues.drop_empty() {
+            self.clients.remove(&client);
         }
-        self.reduce_client_depth(client);
         self.remove_from_tenant(tenant, client, is_last_of_client);
     }
 
@@ -232,21 +275,12 @@
         }
     }
 
-    fn reduce_client_depth(&mut self, client: ClientKey) {
-        let Some(depth) = self.client_depths.get_mut(&client) else { return };
-        *depth -= 1;
-        if *depth == 0 {
-            self.client_depths.remove(&client);
-        }
-    }
-
     /// An estimate of the heap memory in use, in bytes.
     pub fn heap_bytes(&self) -> usize {
-        let client_requests: usize = self.queues.values().map(|queue| queue.requests.capacity()).sum();
+        let client_queues: usize = self.clients.values().map(ClientQueues::heap_bytes).sum();
         let tenant_clients: usize = self.tenants.values().map(|queue| queue.client_ring.capacity()).sum();
-        self.queues.capacity() * (size_of::<(QueueKey, ClientQueue)>() + 1)
-            + self.client_depths.capacity() * (size_of::<(ClientKey, usize)>() + 1)
-            + client_requests * size_of::<RequestId>()
+        self.clients.capacity() * (size_of::<(ClientKey, ClientQueues)>() + 1)
+            + client_queues
             + self.tenants.capacity() * (size_of::<(TenantId, TenantQueue)>() + 1)
             + tenant_clients * size_of::<ClientKey>()
             + self.tenant_ring.capacity() * size_of::<TenantId>()
