--- a/src/interface/action.rs
+++ b/src/interface/action.rs
@@ -103,7 +103,7 @@
         /// The endpoint.
         endpoint: EndpointId,
     },
-    /// Set a timer; the host passes an [`Event::Timer`] with its token when it is due.
+    /// Set a timer; the host passes an [`Event::Timer`](super::Event::Timer) with its token when it is due.
     SetTimer {
         /// Identifies the timer in its event.
         token: u64,
--- a/src/interface/event.rs
+++ b/src/interface/event.rs
@@ -69,7 +69,7 @@
     },
     /// A timer is due.
     Timer {
-        /// The token of [`Action::SetTimer`].
+        /// The token of [`Action::SetTimer`](super::Action::SetTimer).
         token: u64,
     },
     /// An object or a group was purged; copies fetched before the purge must not be served.
