Contain panics of tasks and requests by one function of the executor

Six places caught a future's panic, counted and logged it by hand: the tasks, the endpoint connections, the supervisor and the requests of three fronts. They call Executor::contain. The end of an attempt after a panic at its reply stands where the panic is seen. No change of behaviour, but the supervisor's line: 'panicked', then 'restarting'.

--- a/src/engine/executor.rs
+++ b/src/engine/executor.rs
@@ -178,10 +178,10 @@
         let dial = Dial { conn, address, connect_timeout_ms, waker };
         let executor = self.clone();
         self.spawn("endpoint connection", async move {
-            let driven = AssertUnwindSafe(executor.driver.drive(executor.clone(), dial)).catch_unwind().await;
+            let driven = executor.driver.drive(executor.clone(), dial);
+            let has_ended = executor.contain("endpoint connection", driven).await;
             executor.wakers.borrow_mut().remove(&conn);
-            if driven.is_err() {
-                executor.count_panic("endpoint connection");
+            if has_ended.is_none() {
                 executor.with(|engine| engine.connection_lost(conn));
             }
         });
@@ -309,16 +309,18 @@
     pub fn spawn(self: &Rc<Self>, what: &'static str, task: impl Future<Output = ()> + 'static) {
         let executor = self.clone();
         tokio::task::spawn_local(async move {
-            if AssertUnwindSafe(task).catch_unwind().await.is_err() {
-                executor.count_panic(what);
-            }
+            executor.contain(what, task).await;
         });
     }
 
-    /// Counts and logs a panic in `what`.
-    pub fn count_panic(&self, what: &'static str) {
-        self.engine.borrow_mut().counters.panics += 1;
-        tracing::error!(what, "panicked");
+    /// Runs a future. A panic in it is logged with `what` as its name, and counted; the result is `None` then.
+    pub async fn contain<T>(&self, what: &'static str, future: impl Future<Output = T>) -> Option<T> {
+        let result = AssertUnwindSafe(future).catch_unwind().await;
+        if result.is_err() {
+            self.engine.borrow_mut().counters.panics += 1;
+            tracing::error!(what, "panicked");
+        }
+        result.ok()
     }
 
     /// Runs the timers of the engine and of admission control. Never returns.
--- a/src/engine/replies.rs
+++ b/src/engine/replies.rs
@@ -25,9 +25,9 @@
             return;
         };
         connection.exclude(id.request);
-        self.contain(id.request, |engine| engine.apply_reply(id, reply));
-        // Has no effect unless the reply's handling panicked.
-        self.end_attempt(id, AttemptOutcome::Malformed);
+        if self.contain(id.request, |engine| engine.apply_reply(id, reply)).is_none() {
+            self.end_attempt(id, AttemptOutcome::Malformed);
+        }
         self.process_events();
         self.effects.push_back(Effect::Wake(conn));
     }
--- a/src/grpc/call_driver.rs
+++ b/src/grpc/call_driver.rs
@@ -15,12 +15,10 @@
 use crate::panics::contain;
 use crate::state::request_memory::{head_bytes, RequestReservation};
 use bytes::Bytes;
-use futures_util::FutureExt;
 use h2::server::SendResponse;
 use h2::RecvStream;
 use http::{request, HeaderMap, Method, Request, Response, StatusCode};
 use std::net::IpAddr;
-use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 
 /// A call that a client has sent.
@@ -42,9 +40,8 @@
         return front.count_not_grpc();
     }
     let mut response = ResponseStream::NotStarted(respond);
-    let answered = AssertUnwindSafe(answer_call(&front, &head, body, arrived_ms, client, &mut response));
-    if answered.catch_unwind().await.is_err() {
-        front.executor.count_panic("gRPC call");
+    let answered = answer_call(&front, &head, body, arrived_ms, client, &mut response);
+    if front.executor.contain("gRPC call", answered).await.is_none() {
         let status = LocalStatus::failed(Code::INTERNAL, "the proxy failed to handle the call");
         response.end(status_trailers(&status));
     }
--- a/src/http3/request.rs
+++ b/src/http3/request.rs
@@ -9,12 +9,10 @@
 use crate::wire::front::{Disposition, Front};
 use crate::wire::http::{HttpRequest, HttpResponse};
 use bytes::{Buf, Bytes, BytesMut};
-use futures_util::FutureExt;
 use h3::server::RequestStream;
 use h3_quinn::BidiStream;
 use http::request::Parts;
 use http::{Method, Request, Response};
-use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use thiserror::Error;
 use tokio::sync::Notify;
@@ -185,11 +183,9 @@
 
 /// Like [`dispatch`], but answers with an error if the handling of the request panics.
 async fn dispatch_contained(connection: &Connection, request: &HttpRequest) -> Option<PrioritizedResponse> {
-    let response = AssertUnwindSafe(dispatch(connection, request)).catch_unwind().await;
-    response.unwrap_or_else(|_| {
-        connection.server.executor.count_panic("HTTP/3 request");
-        Some(PrioritizedResponse::immediate(HttpResponse::status(500)))
-    })
+    let executor = &connection.server.executor;
+    let response = executor.contain("HTTP/3 request", dispatch(connection, request)).await;
+    response.unwrap_or_else(|| Some(PrioritizedResponse::immediate(HttpResponse::status(500))))
 }
 
 /// Passes a request to the front and the engine. Returns `None` if the connection ended before the response.
--- a/src/lifecycle/supervisor.rs
+++ b/src/lifecycle/supervisor.rs
@@ -18,10 +18,8 @@
     let executor_handle = executor.clone();
     executor.spawn(name, async move {
         loop {
-            let task = tokio::task::spawn_local(make());
-            if task.await.is_err() {
-                executor_handle.with(|engine| engine.counters.panics += 1);
-                tracing::error!(task = name, "task panicked; restarting");
+            if executor_handle.contain(name, make()).await.is_none() {
+                tracing::error!(task = name, "restarting");
                 tokio::time::sleep(RESTART_DELAY).await;
             }
         }
--- a/src/wire/client_connection.rs
+++ b/src/wire/client_connection.rs
@@ -12,9 +12,7 @@
 use crate::clock::duration_from_ms;
 use crate::engine::executor::Executor;
 use crate::state::requests::{FinalResponse, IncomingRequest};
-use futures_util::FutureExt;
 use std::net::IpAddr;
-use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -240,9 +238,9 @@
 
     /// The response to a request, an error if its handling panics; `None` where the client has disconnected.
     async fn respond_contained(&mut self, request: &HttpRequest, arrived_ms: f64) -> Option<TimedResponse> {
-        let response = AssertUnwindSafe(self.respond(request, arrived_ms)).catch_unwind().await;
-        response.unwrap_or_else(|_| {
-            self.executor.count_panic("client request");
+        let executor = self.executor.clone();
+        let response = executor.contain("client request", self.respond(request, arrived_ms)).await;
+        response.unwrap_or_else(|| {
             let write_ms = self.front.limits().write_ms;
             Some(TimedResponse { response: HttpResponse::status(500), write_ms })
         })
